--- /dev/null
+++ b/swiftthread/__init__.py
@@ -0,0 +1,1 @@
+"""swiftthread: a dispatcher of notifications to outside receivers."""
--- /dev/null
+++ b/swiftthread/choice.py
@@ -0,0 +1,534 @@
+"""Every decision of swiftthread, for one delivery node that sees only its own traffic.
+
+A caller builds one `Dispatcher`, hands in events (`take`) and what it learns (`listed`, `list_failed`,
+`withdrawn`, `probed`), has the events that may be asked for put `in_order`, and makes three calls:
+`where` (a send, later, a decline or a discard), `after` (what an outcome means for the event) and `wait`
+(when to ask again after "later"). `probes`, `wants_list` and `next_moment` are asked once a turn. Plain
+values and their meaning: plain.py. The design, what was kept and what was changed: docs/design.md.
+"""
+import hashlib
+import math
+import random
+from collections import deque
+from statistics import median
+
+from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, FULL, IDEMPOTENT, NON_IDEMPOTENT, UNREACHED,
+                               UNSENT, Decline, Discard, Event, Later, Send, Wait)
+
+# Constants. Those marked "page" are the design page's, the rest are ours.
+START_SHARE = 1.4       # x listed / nodes: first rate; nodes' traffic differs, so more than an even part
+GROW = 0.10             # x even part each second: clean growth past the level; slow beside a halving
+MOST_RATE = 1.5         # x listed: no node needs more than all of it, and the list may be somewhat low
+CUT = 0.5               # page: a refusal, an error run or risen latency halves the rate
+LEVEL_KEPT = 0.9        # x level: what a refusal leaves of the level that clean seconds lead back to
+CLEAN_MS = 1000.0       # page: a clean second doubles the rate; also the least time between two cuts
+LEAST_RATE = 0.001      # calls per ms, page: an unpaced key's first cut never goes under one a second
+BURST = 1.0             # intervals: little burst tolerance, one call early
+SLACK_MS = 20.0         # ms past its moment in which a slot counts as kept; a few turns of the caller
+RIDER = 0.05            # of an interval: what one more event in a call costs; it is work, not a call
+ERROR_RUN = 3           # calls failing in a row, none between: an error run; two can be chance
+WINDOW = 24             # latencies for a median; fewer make chance look like a rise at a cv of 1.4
+RISEN = 2.0             # page: latency has risen when the median is over this many times its low
+USUAL_MS = 350.0        # ms: latency assumed before the first was seen
+MOSTLY_BAD = 0.5        # share of failed calls, smoothed, from which a sink counts as failing
+SMOOTH = 0.2            # weight of the newest call in that share; about the last ten calls
+QUIET_MS = 700.0        # ms without an outcome before a sink with calls out is quiet; over a brief stall
+QUIET_CALLS = 4.0       # x usual latency: the same for slow sinks
+TRY_MS, TRY_MOST_MS = 400.0, 1600.0  # ms: first and longest pause between trials of a failing sink
+ALLOW_MS, ALLOW_CALLS = 1200.0, 8.0  # ms + x usual latency: time-out; p99 of a long-tailed service
+ALLOW_MOST_MS = 6000.0  # ms: longest time-out; a silent sink holds a slot no longer
+ALLOW_WINDOW = 0.6      # of the repeat window at most, so that another send fits inside it
+ALLOW_AGE = 0.6         # of the rest of the max age, for sends that may run again
+COLD_SHARE = 0.8        # of an even part of the fall budget: others send too, and chance needs room
+CROWDED = 0.92          # of the holding room: from here the longest queues are declined
+MARGIN_MS = 12.0        # ms before a bound at which the event is answered; two turns of the caller
+REPORT_LOW = 0.1        # share of the limit left under which a key does not grow
+
+
+class Key:
+    """One due moment: a destination, or a route where routes are kept apart."""
+
+    def __init__(self, listed, even):
+        self.due = self.blocked = self.changed = self.pressed = -math.inf
+        self.listed, self.even = listed, even            # calls per ms; None: no listed rate
+        self.rate = even and min(listed, START_SHARE * even)
+        self.level = self.rate
+        self.acks = deque()                              # moments; emptied after a second
+        self.took, self.low = deque(maxlen=WINDOW), None
+        self.since, self.run, self.left = 0, 0, 1.0
+        self.ride = (None, -math.inf, 0)                 # call that others may join this turn
+
+    def usual(self):
+        return median(self.took) if self.took else USUAL_MS
+
+    def ready_at(self):
+        """When the next send may go; a little burst tolerance, but never inside a told wait."""
+        early = BURST / self.rate if self.rate else 0.0
+        return max(self.due - early, self.blocked)
+
+    def book(self, now, cost):
+        if self.rate:
+            slot = self.due if 0 <= now - self.due <= SLACK_MS else max(now, self.due)
+            self.due = slot + cost / self.rate
+
+    def cut(self, now, refused):
+        if now - self.changed < CLEAN_MS:
+            return
+        if self.rate is None:
+            served = sum(1 for at in self.acks if now - at <= 1000.0) / 1000.0
+            self.rate = self.level = max(LEAST_RATE, served)
+        if refused:
+            self.level = max(min(self.level, self.rate) * LEVEL_KEPT, LEAST_RATE / 4)
+        least = min(LEAST_RATE, self.even / 4 if self.even else LEAST_RATE)
+        self.rate, self.changed = max(self.rate * CUT, least), now
+
+    def acked(self, now, latency, slow_everywhere):
+        self.run = 0
+        self.acks.append(now)
+        while now - self.acks[0] > 1000.0:
+            self.acks.popleft()
+        self.took.append(latency)
+        self.since += 1
+        if self.since >= WINDOW // 2 and len(self.took) == WINDOW:
+            self.since, mid = 0, median(self.took)
+            self.low = mid if self.low is None else min(mid, self.low * 1.03)
+            # Guards against a rise seen everywhere at once: that is not this destination's overload.
+            if self.risen() and not slow_everywhere():
+                self.cut(now, False)
+        if self.rate is None:
+            return
+        if self.rate < self.level:
+            if now - self.changed >= CLEAN_MS:
+                self.rate, self.changed = min(self.level, self.rate / CUT), now
+        elif now - self.pressed < CLEAN_MS and self.left > REPORT_LOW:
+            step = GROW * (self.even or LEAST_RATE) / (self.rate * 1000.0)
+            most = MOST_RATE * self.listed if self.listed else math.inf
+            self.rate = self.level = max(self.rate, min(self.rate + step, most))
+
+    def risen(self):
+        return self.low is not None and len(self.took) == WINDOW and median(self.took) > RISEN * self.low
+
+
+class Sink:
+    """One endpoint of a destination, and how this node finds it."""
+
+    def __init__(self, ident, zone, dest):
+        self.ident, self.zone, self.dest = ident, zone, dest
+        self.order = hashlib.blake2b(f"{dest.number}/{ident}".encode(), digest_size=8).digest()
+        self.key, self.ready, self.batch, self.fee = None, False, 1, 0.0
+        self.out, self.heard, self.bad, self.run = 0, -math.inf, 0.0, 0
+        self.down, self.pause, self.try_at, self.trying = False, TRY_MS, math.inf, False
+        self.run_since, self.cold_since, self.cold_due, self.probing = 0.0, -math.inf, -math.inf, False
+        self.acked_at = -math.inf
+
+
+class Destination:
+    def __init__(self, number):
+        self.number, self.sinks, self.key, self.held = number, [], None, 0
+
+
+class Call:
+    """One call out, with the events that travel in it; it ends with the last of their outcomes."""
+
+    def __init__(self, sink):
+        self.sink, self.left, self.learnt = sink, 0, False
+
+
+class Dispatcher:
+    def __init__(self, seed, *, streams=(), nodes=1, zone=0, slots=math.inf, room=math.inf, most_sends=8,
+                 batch_by_kind=(), apart_by_kind=(), carriage_by_zone=(), halving=False, listed_rates="off",
+                 quotas=(), over_quota_utility=1.0, may_probe=False, may_advise=False, most_advice_ms=0.0,
+                 asks_for_list=False, fall_multiple=1.0, fall_ms=2000.0, cold_from=0.15, warm_up_ms=20000.0,
+                 key_rest_ms=0.0, connect_ms=1000.0, crossing_price=0.0, tick_ms=5.0):
+        chance = random.Random(seed)
+        self.spread = chance.uniform
+        self.streams, self.nodes, self.zone = list(streams), max(1, nodes), zone
+        self.slots, self.room, self.most_sends = slots, room * CROWDED, most_sends
+        self.batch_by_kind, self.apart_by_kind = list(batch_by_kind), list(apart_by_kind)
+        mean = sum(s.utility for s in self.streams) / max(1, len(self.streams))
+        self.fees = [fee * mean for fee in carriage_by_zone]          # utility units, by zone
+        self.halving, self.has_rates = halving, listed_rates in ("nominal", "rough")
+        self.over_quota = over_quota_utility
+        self.quota = [[self.nodes * 1000.0 / q if q else 0.0, 0.0] for q in quotas]  # [interval, due] a tenant
+        self.may_probe, self.most_advice = may_probe, most_advice_ms if may_advise else 0.0
+        self.listing_at = 0.0 if asks_for_list else math.inf
+        self.cold_part = COLD_SHARE * fall_multiple / self.nodes / (1.5 if listed_rates == "rough" else 1.0)
+        self.cold_from, self.warm_up, self.key_rest = cold_from, max(1.0, warm_up_ms), key_rest_ms
+        self.margin = max(MARGIN_MS, 2 * tick_ms)
+        self.dests, self.sinks = {}, {}      # by number; sinks leave when gone with no call out
+        self.turns = {}      # subject -> [events in order taken, rest until]; emptied when over and rested
+        self.out = self.held = 0
+
+    # ---- what the node is told
+
+    def take(self, now, stream_no, dest_no, left, tenant=0, subject=0, again=False):
+        evt = Event()
+        evt.stream, evt.dest = self.streams[stream_no], self.dests.get(dest_no) or self._dest(dest_no)
+        evt.subject = subject if evt.stream.in_order else 0
+        evt.ends_at = now + left
+        evt.slo_at = evt.ends_at - evt.stream.max_age_ms + evt.stream.slo_ms
+        evt.weight, evt.over, evt.sends, evt.sink, evt.call = self._weight(evt, tenant, now), False, 0, None, None
+        evt.sent_at = evt.maybe_at = evt.maybe_zone = None
+        evt.ask_at, evt.by_outcome = now, False
+        evt.dest.held += 1
+        self.held += 1
+        if evt.subject:
+            for old in [s for s, (line, rest) in self.turns.items() if not line and rest <= now]:
+                del self.turns[old]
+            self.turns.setdefault(evt.subject, [deque(), -math.inf])[0].append(evt)
+        return evt
+
+    def _dest(self, number):
+        self.dests[number] = dest = Destination(number)
+        return dest
+
+    def _weight(self, evt, tenant, now):
+        if tenant >= len(self.quota) or not self.quota[tenant][0]:
+            return evt.stream.utility
+        interval, due = self.quota[tenant]
+        if due > now + 2000.0:       # over its share by two seconds of it: worth little, whatever is done
+            return evt.stream.utility * self.over_quota
+        self.quota[tenant][1] = max(now, due) + interval
+        return evt.stream.utility
+
+    def listed(self, entries, whole, now):
+        named = set()
+        for ident, dest_no, zone, kind, rate, ready in entries:
+            dest = self.dests.get(dest_no) or self._dest(dest_no)
+            sink = self.sinks.get(ident)
+            if sink is None:
+                if not ready:
+                    continue
+                sink = self.sinks[ident] = Sink(ident, zone, dest)
+            named.add(ident)
+            apart = kind < len(self.apart_by_kind) and self.apart_by_kind[kind]
+            listed = rate / 1000.0 if self.has_rates and rate > 0 else None
+            if sink.key is None:
+                if apart or dest.key is None:
+                    key = Key(listed, listed and listed / self.nodes)
+                    key.due = now
+                    dest.key = dest.key or key
+                else:
+                    key = dest.key
+                sink.key = key
+            if listed and listed != sink.key.listed and sink.key.listed:
+                change = listed / sink.key.listed
+                sink.key.rate, sink.key.level = sink.key.rate * change, sink.key.level * change
+                sink.key.listed, sink.key.even = listed, listed / self.nodes
+            sink.apart, sink.ready = bool(apart), ready
+            sink.batch = self.batch_by_kind[kind] if kind < len(self.batch_by_kind) else 1
+            sink.fee = self.fees[zone] if apart and zone < len(self.fees) else 0.0
+            if ready and sink not in dest.sinks:
+                dest.sinks = sorted(dest.sinks + [sink], key=lambda s: (s.fee, s.order))
+        for sink in [s for s in self.sinks.values() if not s.ready or (whole and s.ident not in named)]:
+            sink.ready = False
+            if sink in sink.dest.sinks:
+                sink.dest.sinks.remove(sink)
+            if not sink.out and not sink.probing:
+                del self.sinks[sink.ident]
+        if self.listing_at < math.inf:
+            self.listing_at = math.inf
+
+    def list_failed(self, now):
+        self.listing_at = now + self.spread(300.0, 900.0)
+
+    def wants_list(self, now):
+        if now < self.listing_at:
+            return False
+        self.listing_at = math.inf
+        return True
+
+    def withdrawn(self, evt, now):
+        self._end(evt)
+
+    # ---- the three calls
+
+    def in_order(self, events, now):
+        return sorted(events, key=lambda evt: (-self._urgency(evt, now), evt.slo_at))
+
+    def where(self, evt, now):
+        """Send, Later, Decline or Discard."""
+        if self._spent(evt, now):
+            return self._give_up(evt, now)
+        if self.held > self.room and self._longest(evt.dest) and self._harmless(evt):
+            return self._give_up(evt, now)
+        evt.ask_at, evt.by_outcome = self._last_moment(evt, now), True
+        if evt.subject:
+            line, rest = self.turns[evt.subject]
+            if line[0] is not evt or (rest > now and evt.sends == 0):
+                if line[0] is evt:
+                    evt.ask_at = min(evt.ask_at, rest)
+                return Later()
+        sink, moment, joins = self._pick(evt, now)
+        if sink is None:
+            evt.ask_at = min(evt.ask_at, moment)
+            return Later()
+        return self._send(evt, sink, joins, now)
+
+    def after(self, evt, outcome, now, latency, told=0.0, over=False, report=None):
+        """What an outcome means for its event: None when it is over, else Later, Decline or Discard."""
+        call, evt.call, sink, evt.sink = evt.call, None, evt.sink, None
+        call.left -= 1
+        if call.left == 0:
+            self.out -= 1
+            sink.out -= 1
+        if outcome == FULL and told > 0:     # each event of a call may be told a wait of its own
+            self._told(sink.key, now + told + 1.0)
+        if not call.learnt:
+            call.learnt = True
+            self._learn(sink, outcome, now, latency, report or {})
+        if outcome not in (ACKED, FULL, UNREACHED, UNSENT):
+            if evt.maybe_at is None:
+                evt.maybe_at, evt.maybe_zone = evt.sent_at, sink.zone
+            if evt.subject and outcome != "error":
+                self.turns[evt.subject][1] = now + self.key_rest
+        if over or evt.over:
+            self._end(evt)
+            return None
+        evt.ask_at, evt.by_outcome = now, False
+        return self._give_up(evt, now) if self._spent(evt, now) else Later()
+
+    def wait(self, evt, now):
+        return Wait(max(now, evt.ask_at), evt.by_outcome)
+
+    # ---- probes
+
+    def probes(self, now):
+        """Sinks to probe now: failing ones with events waiting, at the pace of trials."""
+        if not self.may_probe:
+            return []
+        found = [s for s in self.sinks.values() if s.ready and s.down and not s.trying and not s.probing
+                 and s.dest.held and s.try_at <= now and s.key.blocked <= now and not s.out]
+        for sink in found:
+            sink.probing = True
+        return found
+
+    def probed(self, ident, outcome, now, latency, report=None):
+        sink = self.sinks.get(ident)
+        if sink is None or not sink.probing:
+            return
+        sink.probing = False
+        if not sink.down:
+            return
+        if outcome == ACKED:
+            sink.trying, sink.try_at = True, now
+        else:
+            self._pause(sink, now)
+
+    def next_moment(self, now):
+        moments = [self.listing_at]
+        if self.may_probe:
+            moments += [max(s.try_at, s.key.blocked) for s in self.sinks.values() if s.ready and s.down
+                        and not s.trying and not s.probing and s.dest.held and not s.out]
+        return min(m if m > now else math.inf for m in moments)
+
+    # ---- behind them
+
+    def _urgency(self, evt, now):
+        """What each further ms costs, soon: the loss of utility, less while the SLO time is far."""
+        stream, slack = evt.stream, evt.slo_at - now
+        rest = max(1.0, stream.max_age_ms - stream.slo_ms)
+        if self.halving:
+            lost = 0.7 * evt.weight / max(1.0, stream.slo_ms)
+            if slack < 0 and 0.5 ** (-slack / stream.slo_ms) <= stream.late_utility:
+                lost *= 0.05
+        else:
+            lost = evt.weight * (1 - stream.late_utility) / rest
+        return lost * math.exp(-max(0.0, slack) / max(200.0, stream.slo_ms))
+
+    def _value(self, evt, at):
+        stream = evt.stream
+        late = at - evt.slo_at
+        if late <= 0:
+            return evt.weight
+        if at >= evt.ends_at:
+            return 0.0
+        if self.halving:
+            return evt.weight * max(stream.late_utility, 0.5 ** (late / max(1.0, stream.slo_ms)))
+        rest = max(1.0, stream.max_age_ms - stream.slo_ms)
+        return evt.weight * (1 - (1 - stream.late_utility) * min(1.0, late / rest))
+
+    def _pick(self, evt, now):
+        """(sink, moment, joins a call): the sink to send to now, or None and when there may be one."""
+        best, soonest = None, math.inf
+        rows = []
+        for sink in evt.dest.sinks:
+            if evt.maybe_at is not None and evt.stream.effect == DEDUPLICATED \
+                    and evt.stream.group != "all" and sink.zone != evt.maybe_zone:
+                continue
+            call, at, left = sink.key.ride
+            if at == now and left > 0 and call.sink is sink:
+                return sink, now, True
+            moment = self._moment(sink, now)
+            rows.append((sink, moment))
+            soonest = min(soonest, moment)
+        if not evt.dest.sinks:
+            return None, now + 200.0, False
+        if self.out >= self.slots or not rows:
+            return None, math.inf, False
+        if rows[0][0].apart:
+            took = rows[0][0].key.usual()
+            best = max(rows, key=lambda r: self._value(evt, max(r[1], now) + took) - r[0].fee)
+            if best[1] > now:
+                if best[1] < math.inf and best[1] > best[0].key.blocked:
+                    best[0].key.pressed = now
+                return None, best[1], False
+            return best[0], now, False
+        open_now = [s for s, moment in rows if moment <= now]
+        if not open_now:
+            if evt.dest.key and soonest < math.inf:
+                evt.dest.key.pressed = now
+            return None, soonest, False
+        for sink in open_now:
+            if sink.out < self._enough(sink):
+                return sink, now, False
+        return min(open_now, key=lambda s: s.out), now, False
+
+    def _enough(self, sink):
+        """Calls out at which the first in rank has enough: its part of what the key keeps busy."""
+        key = sink.key
+        busy = (key.rate or 0.004) * key.usual() / max(1, len(sink.dest.sinks))
+        return max(1.0, busy)
+
+    def _moment(self, sink, now):
+        """When this sink may get a call: inf means after some outcome."""
+        key = sink.key
+        if sink.down:
+            if sink.out or sink.probing or (self.may_probe and not sink.trying):
+                return math.inf
+            return max(sink.try_at, key.blocked)
+        quiet = max(QUIET_MS, QUIET_CALLS * key.usual())
+        if sink.out and now - sink.heard > quiet * (1 if sink.out > 1 else 2):
+            # Bookings never learn when calls end: a silent sink would take slot after slot.
+            return math.inf
+        moment = key.ready_at()
+        if now - sink.cold_since < self.warm_up:
+            moment = max(moment, sink.cold_due)
+        return moment
+
+    def _send(self, evt, sink, joins, now):
+        key = sink.key
+        if joins:
+            call, at, left = key.ride
+            key.ride = (call, at, left - 1)
+            cost = RIDER
+        else:
+            call, cost = Call(sink), 1.0
+            key.ride = (call, now, sink.batch - 1)
+            self.out += 1
+            if not sink.out:
+                sink.heard = now
+            sink.out += 1
+        key.book(now, cost)
+        if now - sink.cold_since < self.warm_up:
+            # Guards a destination that returns cold: an even part of the fall budget, less some for chance.
+            present = self.cold_from + (1 - self.cold_from) * (now - sink.cold_since) / self.warm_up
+            rate = self.cold_part * present * (key.listed or key.level or LEAST_RATE * 2)
+            rate /= 1 if sink.apart else max(1, len(sink.dest.sinks))
+            sink.cold_due = max(now, sink.cold_due) + cost / rate
+        call.left += 1
+        evt.call, evt.sink, evt.sent_at, evt.sends = call, sink, now, evt.sends + 1
+        return Send(sink, self._allow(evt, sink, now))
+
+    def _allow(self, evt, sink, now):
+        allow = ALLOW_MS + ALLOW_CALLS * sink.key.usual()
+        if now - sink.cold_since < self.warm_up:
+            allow *= 2
+        rest = evt.ends_at - now
+        allow = min(allow, ALLOW_MOST_MS)
+        if evt.stream.effect == DEDUPLICATED:
+            allow = min(allow, ALLOW_WINDOW * evt.stream.window_ms) if evt.stream.window_ms else allow
+        elif evt.stream.effect == NON_IDEMPOTENT:
+            return max(1.0, rest)     # a time-out would only end it: nothing may follow
+        if evt.stream.effect == IDEMPOTENT:
+            allow = min(allow, max(ALLOW_MS, ALLOW_AGE * rest))
+        return max(1.0, min(allow, rest))
+
+    def _learn(self, sink, outcome, now, latency, report):
+        key = sink.key
+        if report:
+            key.left = report.get("x0", 1.0) if report.get("x1") else 1.0
+        if outcome in (CANCELLED, UNSENT):
+            return
+        sink.heard = now
+        if outcome == ACKED:
+            sink.acked_at, sink.run, sink.bad = now, 0, sink.bad * (1 - SMOOTH)
+            if sink.down:
+                sink.down, sink.trying, sink.cold_since, sink.cold_due = False, False, now, now
+                sink.bad = min(sink.bad, MOSTLY_BAD / 2)
+            key.acked(now, latency, self._slow_everywhere)
+            return
+        if outcome == FULL:
+            key.cut(now, True)
+        else:
+            # A connect that fails while others are answered is a full connection table, not an outage.
+            if outcome == UNREACHED and sink.out and now - sink.acked_at < 1000.0:
+                return
+            key.run += 1
+            sink.bad += SMOOTH * (1 - sink.bad)
+            if key.run >= ERROR_RUN:
+                key.cut(now, False)
+        if sink.run == 0:
+            sink.run_since = now
+        sink.run += 1
+        if sink.down:
+            self._pause(sink, now)
+        elif (sink.run >= ERROR_RUN and (outcome != FULL or now - sink.run_since > 500.0)) or sink.bad > MOSTLY_BAD:
+            sink.down, sink.pause = True, TRY_MS
+            self._pause(sink, now)
+
+    def _told(self, key, until):
+        """The page: a told wait blocks the key to its end, and the due moment restarts there."""
+        if until > key.blocked:
+            key.blocked = until
+            key.due = max(key.due, until + self.spread(0.0, 0.3) / (key.rate or 0.004))
+
+    def _pause(self, sink, now):
+        sink.trying = False
+        sink.try_at = now + sink.pause * self.spread(0.8, 1.2)
+        sink.pause = min(TRY_MOST_MS, sink.pause * 1.5)
+
+    def _slow_everywhere(self):
+        keys = {id(s.key): s.key for s in self.sinks.values()}.values()
+        known = [key for key in keys if key.low is not None]
+        return len(known) > 2 and sum(key.risen() for key in known) * 2 > len(known)
+
+    def _longest(self, dest):
+        waiting = sum(1 for d in self.dests.values() if d.held)
+        return dest.held * waiting > self.held
+
+    def _last_moment(self, evt, now):
+        """The moment at which a held event must be answered."""
+        last = evt.ends_at - self.margin
+        if evt.maybe_at is not None and evt.stream.effect == DEDUPLICATED:
+            last = min(last, evt.maybe_at + evt.stream.window_ms - self.margin)
+        return last
+
+    def _spent(self, evt, now):
+        """True when nothing more may be sent for the event."""
+        if now >= self._last_moment(evt, now) or evt.sends >= self.most_sends:
+            return True
+        return evt.maybe_at is not None and evt.stream.effect == NON_IDEMPOTENT
+
+    def _harmless(self, evt):
+        """True when a decline may be said: the client can hand the event in again."""
+        stream = evt.stream
+        return (evt.maybe_at is None or stream.effect == IDEMPOTENT
+                or (stream.effect == DEDUPLICATED and stream.group == "all"))
+
+    def _give_up(self, evt, now):
+        harmless = self._harmless(evt)
+        key = evt.dest.key
+        self._end(evt)
+        if not harmless:
+            return Discard()
+        advice = max(500.0, key.due - now, key.blocked - now) if key else 500.0
+        return Decline(min(self.most_advice, advice))
+
+    def _end(self, evt):
+        if not evt.over:
+            evt.over = True
+            evt.dest.held -= 1
+            self.held -= 1
+        if evt.subject and evt.call is None and evt in self.turns[evt.subject][0]:
+            self.turns[evt.subject][0].remove(evt)
--- /dev/null
+++ b/swiftthread/drill/__main__.py
@@ -0,0 +1,26 @@
+"""Serve the drill's wire on standard input and output until the input ends."""
+import sys
+
+from swiftthread.drill import codec
+from swiftthread.drill.hosting import Host
+
+
+def main():
+    host, source, sink = Host(), sys.stdin.buffer, sys.stdout.buffer
+    try:
+        while (frame := codec.read_frame(source)) is not None:
+            number, now, records, tail = frame
+            reply = codec.Reply(number)
+            host.batch(number, now, records, tail, reply)
+            sink.write(reply.frame())
+            sink.flush()
+    except codec.Malformed as fault:
+        print(f"swiftthread.drill: {fault}", file=sys.stderr)
+        return 2
+    except BrokenPipeError:
+        return 0
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/swiftthread/plain.py
@@ -0,0 +1,58 @@
+"""The plain types that the decisions and their callers share. Nothing is decided here.
+
+A caller (the drill today, a node on sockets later) builds one `choice.Dispatcher` for each instance and
+then: hands in what it learns (`take`, `listed`, `withdrawn`, `probed`), puts the events that may be asked
+for in order (`in_order`), and makes the three calls: `where`, `after`, `wait`. Moments and lengths of
+time are milliseconds with fractions; moments are read off one clock that only goes forward.
+"""
+from typing import NamedTuple
+
+# How a send can end, whatever the protocol calls it.
+ACKED, ERROR, FULL, TIMEOUT = "acked", "error", "full", "timeout"
+UNREACHED, RESET, CANCELLED, UNSENT = "unreached", "reset", "cancelled", "unsent"
+
+# Effects of a stream type.
+IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT = "idempotent", "deduplicated", "non-idempotent"
+
+
+class Send(NamedTuple):
+    """Send the event to this sink, and stop waiting after so long."""
+    sink: object
+    allow_ms: float
+
+
+class Decline(NamedTuple):
+    """Hand the event back; the client may try again, best after this long (0: no advice)."""
+    come_back_ms: float
+
+
+class Discard(NamedTuple):
+    """End the event; nothing is promised of what it did."""
+
+
+class Later(NamedTuple):
+    """Not yet: ask `wait` when to ask again."""
+
+
+class Wait(NamedTuple):
+    """Ask again at this moment, or before it as soon as any send of this node ends."""
+    until: float
+    or_outcome: bool
+
+
+class StreamType(NamedTuple):
+    """What the client's contract says of a kind of event."""
+    slo_ms: float
+    max_age_ms: float
+    utility: float = 1.0
+    late_utility: float = 0.0
+    effect: str = NON_IDEMPOTENT
+    group: str = "all"
+    window_ms: float = 0.0
+    in_order: bool = False
+
+
+class Event:
+    """An event in hand. The ticket is the door's; all else is kept by the decisions."""
+    __slots__ = ("ticket", "stream", "dest", "subject", "weight", "slo_at", "ends_at", "ask_at", "by_outcome",
+                 "sends", "sink", "call", "sent_at", "maybe_at", "maybe_zone", "over")
