Trials, probes and the cold ramp share one fall budget across nodes

Cause, read from a tap: twelve nodes each probed a down endpoint about once a second, together 3 to 4 times the fall budget of a small destination. Told apart from events: the refused calls at the return were probes and the trials right behind them. Now the pause between trials is this node's part of the budget (between its usual share and an even one), a probe goes only where calls went silent. Should hold against any return; hurts where a return is found late.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -12,8 +12,8 @@
 from collections import deque
 from statistics import median
 
-from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, FULL, IDEMPOTENT, NON_IDEMPOTENT, UNREACHED,
-                               UNSENT, Decline, Discard, Event, Later, Send, Wait)
+from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, ERROR, FULL, IDEMPOTENT, NON_IDEMPOTENT, TIMEOUT,
+                               UNREACHED, UNSENT, Decline, Discard, Event, Later, Send, Wait)
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
 START_SHARE = 1.4       # x listed / nodes: first rate; nodes' traffic differs, so more than an even part
@@ -26,6 +26,7 @@
 BURST = 1.0             # intervals: little burst tolerance, one call early
 SLACK_MS = 20.0         # ms past its moment in which a slot counts as kept; a few turns of the caller
 RIDER = 0.05            # of an interval: what one more event in a call costs; it is work, not a call
+ALONE_MS = 1000.0       # ms without an ack after which one unanswered or unreached call tells of an outage
 ERROR_RUN = 3           # calls failing in a row, none between: an error run; two can be chance
 WINDOW = 24             # latencies for a median; fewer make chance look like a rise at a cv of 1.4
 RISEN = 2.0             # page: latency has risen when the median is over this many times its low
@@ -34,12 +35,14 @@
 SMOOTH = 0.2            # weight of the newest call in that share; about the last ten calls
 QUIET_MS = 700.0        # ms without an outcome before a sink with calls out is quiet; over a brief stall
 QUIET_CALLS = 4.0       # x usual latency: the same for slow sinks
-TRY_MS, TRY_MOST_MS = 400.0, 1600.0  # ms: first and longest pause between trials of a failing sink
+TRY_MS = 300.0          # ms: least pause before a failing sink is tried; a few round trips
 ALLOW_MS, ALLOW_CALLS = 1200.0, 8.0  # ms + x usual latency: time-out; p99 of a long-tailed service
 ALLOW_MOST_MS = 6000.0  # ms: longest time-out; a silent sink holds a slot no longer
 ALLOW_WINDOW = 0.6      # of the repeat window at most, so that another send fits inside it
 ALLOW_AGE = 0.6         # of the rest of the max age, for sends that may run again
-COLD_SHARE = 0.8        # of an even part of the fall budget: others send too, and chance needs room
+COLD_SHARE = 0.7        # of this node's part of the fall budget: others send too, and chance needs room
+USUAL_SPAN_MS = 10000.0  # ms: span of the smoothed rate of acked calls, this node's usual part of a key
+SHUT_MS = 2100.0        # ms: a told wait longer than the span that limits are counted in means shut
 CROWDED = 0.92          # of the holding room: from here the longest queues are declined
 MARGIN_MS = 12.0        # ms before a bound at which the event is answered; two turns of the caller
 REPORT_LOW = 0.1        # share of the limit left under which a key does not grow
@@ -57,6 +60,7 @@
         self.took, self.low = deque(maxlen=WINDOW), None
         self.since, self.run, self.left = 0, 0, 1.0
         self.ride = (None, -math.inf, 0)                 # call that others may join this turn
+        self.part, self.part_at = 0.0, None              # usual acked calls per ms, and when last moved
 
     def usual(self):
         return median(self.took) if self.took else USUAL_MS
@@ -84,6 +88,9 @@
 
     def acked(self, now, latency, slow_everywhere):
         self.run = 0
+        if self.part_at is not None:
+            self.part *= math.exp((self.part_at - now) / USUAL_SPAN_MS)
+        self.part, self.part_at = self.part + 1 / USUAL_SPAN_MS, now
         self.acks.append(now)
         while now - self.acks[0] > 1000.0:
             self.acks.popleft()
@@ -117,9 +124,8 @@
         self.order = hashlib.blake2b(f"{dest.number}/{ident}".encode(), digest_size=8).digest()
         self.key, self.ready, self.batch, self.fee = None, False, 1, 0.0
         self.out, self.heard, self.bad, self.run = 0, -math.inf, 0.0, 0
-        self.down, self.pause, self.try_at, self.trying = False, TRY_MS, math.inf, False
-        self.run_since, self.cold_since, self.cold_due, self.probing = 0.0, -math.inf, -math.inf, False
-        self.acked_at = -math.inf
+        self.down, self.silent, self.probing, self.proved = False, False, False, False
+        self.run_since, self.cold_since, self.cold_due, self.acked_at = 0.0, -math.inf, -math.inf, -math.inf
 
 
 class Destination:
@@ -152,7 +158,7 @@
         self.quota = [[self.nodes * 1000.0 / q if q else 0.0, 0.0] for q in quotas]  # [interval, due] a tenant
         self.may_probe, self.most_advice = may_probe, most_advice_ms if may_advise else 0.0
         self.listing_at = 0.0 if asks_for_list else math.inf
-        self.cold_part = COLD_SHARE * fall_multiple / self.nodes / (1.5 if listed_rates == "rough" else 1.0)
+        self.cold_part = COLD_SHARE * fall_multiple / (1.25 if listed_rates == "rough" else 1.0)
         self.cold_from, self.warm_up, self.key_rest = cold_from, max(1.0, warm_up_ms), key_rest_ms
         self.margin = max(MARGIN_MS, 2 * tick_ms)
         self.dests, self.sinks = {}, {}      # by number; sinks leave when gone with no call out
@@ -274,13 +280,15 @@
             sink.out -= 1
         if outcome == FULL and told > 0:     # each event of a call may be told a wait of its own
             self._told(sink.key, now + told + 1.0)
+            if told > SHUT_MS and not sink.down:
+                self._lose(sink, now)
         if not call.learnt:
             call.learnt = True
             self._learn(sink, outcome, now, latency, report or {})
         if outcome not in (ACKED, FULL, UNREACHED, UNSENT):
             if evt.maybe_at is None:
                 evt.maybe_at, evt.maybe_zone = evt.sent_at, sink.zone
-            if evt.subject and outcome != "error":
+            if evt.subject and outcome != ERROR:
                 self.turns[evt.subject][1] = now + self.key_rest
         if over or evt.over:
             self._end(evt)
@@ -297,29 +305,25 @@
         """Sinks to probe now: failing ones with events waiting, at the pace of trials."""
         if not self.may_probe:
             return []
-        found = [s for s in self.sinks.values() if s.ready and s.down and not s.trying and not s.probing
-                 and s.dest.held and s.try_at <= now and s.key.blocked <= now and not s.out]
+        found = [s for s in self.sinks.values() if self._wants_probe(s) and s.cold_due <= now >= s.key.blocked]
         for sink in found:
-            sink.probing = True
+            sink.probing, sink.cold_due = True, now + self._cold_pause(sink, now)
         return found
 
+    def _wants_probe(self, sink):
+        """Only a sink that went silent is probed: elsewhere an event that is tried loses nothing."""
+        return (sink.down and sink.silent and sink.ready and not (sink.proved or sink.probing or sink.out)
+                and sink.dest.held > 0)
+
     def probed(self, ident, outcome, now, latency, report=None):
         sink = self.sinks.get(ident)
-        if sink is None or not sink.probing:
-            return
-        sink.probing = False
-        if not sink.down:
-            return
-        if outcome == ACKED:
-            sink.trying, sink.try_at = True, now
-        else:
-            self._pause(sink, now)
+        if sink is not None and sink.probing:
+            sink.probing, sink.proved = False, outcome == ACKED
 
     def next_moment(self, now):
         moments = [self.listing_at]
         if self.may_probe:
-            moments += [max(s.try_at, s.key.blocked) for s in self.sinks.values() if s.ready and s.down
-                        and not s.trying and not s.probing and s.dest.held and not s.out]
+            moments += [max(s.cold_due, s.key.blocked) for s in self.sinks.values() if self._wants_probe(s)]
         return min(m if m > now else math.inf for m in moments)
 
     # ---- behind them
@@ -394,9 +398,9 @@
         """When this sink may get a call: inf means after some outcome."""
         key = sink.key
         if sink.down:
-            if sink.out or sink.probing or (self.may_probe and not sink.trying):
+            if sink.out or sink.probing or (self.may_probe and sink.silent and not sink.proved):
                 return math.inf
-            return max(sink.try_at, key.blocked)
+            return max(now if sink.proved else sink.cold_due, key.blocked)
         quiet = max(QUIET_MS, QUIET_CALLS * key.usual())
         if sink.out and now - sink.heard > quiet * (1 if sink.out > 1 else 2):
             # Bookings never learn when calls end: a silent sink would take slot after slot.
@@ -414,22 +418,28 @@
             cost = RIDER
         else:
             call, cost = Call(sink), 1.0
-            key.ride = (call, now, sink.batch - 1)
+            key.ride = (call, now, 0 if sink.down else sink.batch - 1)
             self.out += 1
             if not sink.out:
                 sink.heard = now
             sink.out += 1
         key.book(now, cost)
-        if now - sink.cold_since < self.warm_up:
-            # Guards a destination that returns cold: an even part of the fall budget, less some for chance.
-            present = self.cold_from + (1 - self.cold_from) * (now - sink.cold_since) / self.warm_up
-            rate = self.cold_part * present * (key.listed or key.level or LEAST_RATE * 2)
-            rate /= 1 if sink.apart else max(1, len(sink.dest.sinks))
-            sink.cold_due = max(now, sink.cold_due) + cost / rate
+        if sink.down or now - sink.cold_since < self.warm_up:
+            sink.cold_due = max(now, sink.cold_due) + cost * self._cold_pause(sink, now)
         call.left += 1
         evt.call, evt.sink, evt.sent_at, evt.sends = call, sink, now, evt.sends + 1
         return Send(sink, self._allow(evt, sink, now))
 
+    def _cold_pause(self, sink, now):
+        """Guards a destination that is out or returns cold: this node's part of the fall budget, less some
+        for chance, for trials and probes as for events. The part lies between the node's usual share and
+        an even one: both add up over the nodes, however many there are."""
+        since = now - sink.cold_since
+        present = self.cold_from if sink.down else self.cold_from + (1 - self.cold_from) * since / self.warm_up
+        key = sink.key
+        rate = self.cold_part * present * (key.part + (key.even or key.part or LEAST_RATE)) / 2
+        return self.spread(0.8, 1.2) * (1 if sink.apart else max(1, len(sink.dest.sinks))) / rate
+
     def _allow(self, evt, sink, now):
         allow = ALLOW_MS + ALLOW_CALLS * sink.key.usual()
         if now - sink.cold_since < self.warm_up:
@@ -454,8 +464,9 @@
         if outcome == ACKED:
             sink.acked_at, sink.run, sink.bad = now, 0, sink.bad * (1 - SMOOTH)
             if sink.down:
-                sink.down, sink.trying, sink.cold_since, sink.cold_due = False, False, now, now
+                sink.down, sink.silent, sink.cold_since = False, False, now
                 sink.bad = min(sink.bad, MOSTLY_BAD / 2)
+                key.part_at = None      # the outage does not lessen the usual part
             key.acked(now, latency, self._slow_everywhere)
             return
         if outcome == FULL:
@@ -471,11 +482,18 @@
         if sink.run == 0:
             sink.run_since = now
         sink.run += 1
+        sink.silent, sink.proved = outcome == TIMEOUT, False
         if sink.down:
-            self._pause(sink, now)
-        elif (sink.run >= ERROR_RUN and (outcome != FULL or now - sink.run_since > 500.0)) or sink.bad > MOSTLY_BAD:
-            sink.down, sink.pause = True, TRY_MS
-            self._pause(sink, now)
+            return
+        if sink.bad > MOSTLY_BAD or sink.run >= ERROR_RUN and outcome != FULL \
+                or sink.run > 1 and outcome == FULL and now - sink.run_since > 500.0 \
+                or outcome not in (ERROR, FULL) and now - sink.acked_at > ALONE_MS:
+            # The last: a node of little traffic may see one call fail in all of an outage, and counts.
+            self._lose(sink, now)
+
+    def _lose(self, sink, now):
+        sink.down = True
+        sink.cold_due = now + max(TRY_MS, self._cold_pause(sink, now))
 
     def _told(self, key, until):
         """The page: a told wait blocks the key to its end, and the due moment restarts there."""
@@ -483,11 +501,6 @@
             key.blocked = until
             key.due = max(key.due, until + self.spread(0.0, 0.3) / (key.rate or 0.004))
 
-    def _pause(self, sink, now):
-        sink.trying = False
-        sink.try_at = now + sink.pause * self.spread(0.8, 1.2)
-        sink.pause = min(TRY_MOST_MS, sink.pause * 1.5)
-
     def _slow_everywhere(self):
         keys = {id(s.key): s.key for s in self.sinks.values()}.values()
         known = [key for key in keys if key.low is not None]
