--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -486,7 +486,7 @@
         if sink.down:
             return
         if sink.bad > MOSTLY_BAD or sink.run >= ERROR_RUN and outcome != FULL \
-                or sink.run > 1 and outcome == FULL and now - sink.run_since > 500.0 \
+                or sink.run > 1 and outcome == FULL and now - sink.run_since > SHUT_MS \
                 or outcome not in (ERROR, FULL) and now - sink.acked_at > ALONE_MS:
             # The last: a node of little traffic may see one call fail in all of an outage, and counts.
             self._lose(sink, now)
