--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -338,7 +338,8 @@
                 lost *= 0.05
         else:
             lost = evt.weight * (1 - stream.late_utility) / rest
-        return lost * math.exp(-max(0.0, slack) / max(200.0, stream.slo_ms))
+        lost *= math.exp(-max(0.0, slack) / max(200.0, stream.slo_ms))
+        return lost + evt.weight * stream.late_utility * math.exp((now - evt.ends_at) / 1000.0) / 1000.0
 
     def _value(self, evt, at):
         stream = evt.stream
@@ -470,14 +471,15 @@
             key.acked(now, latency, self._slow_everywhere)
             return
         if outcome == FULL:
-            key.cut(now, True)
+            if not sink.down:
+                key.cut(now, True)
         else:
             # A connect that fails while others are answered is a full connection table, not an outage.
             if outcome == UNREACHED and sink.out and now - sink.acked_at < 1000.0:
                 return
             key.run += 1
             sink.bad += SMOOTH * (1 - sink.bad)
-            if key.run >= ERROR_RUN:
+            if key.run >= ERROR_RUN and not sink.down:   # a failed trial tells nothing of the rate
                 key.cut(now, False)
         if sink.run == 0:
             sink.run_since = now
