--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -338,8 +338,7 @@
                 lost *= 0.05
         else:
             lost = evt.weight * (1 - stream.late_utility) / rest
-        lost *= math.exp(-max(0.0, slack) / max(200.0, stream.slo_ms))
-        return lost + evt.weight * stream.late_utility * math.exp((now - evt.ends_at) / 1000.0) / 1000.0
+        return lost * math.exp(-max(0.0, slack) / max(200.0, stream.slo_ms))
 
     def _value(self, evt, at):
         stream = evt.stream
