--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -16,12 +16,13 @@
                                UNREACHED, UNSENT, Decline, Discard, Event, Later, Send, Wait)
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
-START_SHARE = 1.4       # x listed / nodes: first rate; nodes' traffic differs, so more than an even part
+START_SHARE = 1.0       # x listed / nodes: first rate; nodes' traffic differs, so more than an even part
 GROW = 0.10             # x even part each second: clean growth past the level; slow beside a halving
 MOST_RATE = 1.5         # x listed: no node needs more than all of it, and the list may be somewhat low
 CUT = 0.5               # page: a refusal, an error run or risen latency halves the rate
 LEVEL_KEPT = 0.9        # x level: what a refusal leaves of the level that clean seconds lead back to
 CLEAN_MS = 1000.0       # page: a clean second doubles the rate; also the least time between two cuts
+ROUGH_SURE = 0.7        # of a roughly listed rate: it may be up to half too high
 LEAST_RATE = 0.001      # calls per ms, page: an unpaced key's first cut never goes under one a second
 BURST = 1.0             # intervals: little burst tolerance, one call early
 SLACK_MS = 20.0         # ms past its moment in which a slot counts as kept; a few turns of the caller
@@ -40,7 +41,7 @@
 ALLOW_MOST_MS = 6000.0  # ms: longest time-out; a silent sink holds a slot no longer
 ALLOW_WINDOW = 0.6      # of the repeat window at most, so that another send fits inside it
 ALLOW_AGE = 0.6         # of the rest of the max age, for sends that may run again
-COLD_SHARE = 0.7        # of this node's part of the fall budget: others send too, and chance needs room
+COLD_SHARE = 0.9        # of this node's part of the fall budget: others send too, and chance needs room
 USUAL_SPAN_MS = 10000.0  # ms: span of the smoothed rate of acked calls, this node's usual part of a key
 SHUT_MS = 2100.0        # ms: a told wait longer than the span that limits are counted in means shut
 CROWDED = 0.92          # of the holding room: from here the longest queues are declined
@@ -51,9 +52,10 @@
 class Key:
     """One due moment: a destination, or a route where routes are kept apart."""
 
-    def __init__(self, listed, even):
+    def __init__(self, listed, even, sure):
         self.due = self.blocked = self.changed = self.pressed = -math.inf
         self.listed, self.even = listed, even            # calls per ms; None: no listed rate
+        self.sure, self.served = sure, True              # trust in the listed rate; an ack since the last cut
         self.rate = even and min(listed, START_SHARE * even)
         self.level = self.rate
         self.acks = deque()                              # moments; emptied after a second
@@ -81,13 +83,15 @@
         if self.rate is None:
             served = sum(1 for at in self.acks if now - at <= 1000.0) / 1000.0
             self.rate = self.level = max(LEAST_RATE, served)
+        # The even part of a listed rate is this node's due: refusals lead back to it, not below, unless the
+        # key has served nothing since the last cut, which says that the list is wrong.
+        due = self.even * self.sure if self.even and self.served else LEAST_RATE / 4
         if refused:
-            self.level = max(min(self.level, self.rate) * LEVEL_KEPT, LEAST_RATE / 4)
-        least = min(LEAST_RATE, self.even / 4 if self.even else LEAST_RATE)
-        self.rate, self.changed = max(self.rate * CUT, least), now
+            self.level = max(min(self.level, max(self.rate, due)) * LEVEL_KEPT, due)
+        self.rate, self.changed, self.served = max(self.rate * CUT, due * CUT), now, False
 
     def acked(self, now, latency, slow_everywhere):
-        self.run = 0
+        self.run, self.served = 0, True
         if self.part_at is not None:
             self.part *= math.exp((self.part_at - now) / USUAL_SPAN_MS)
         self.part, self.part_at = self.part + 1 / USUAL_SPAN_MS, now
@@ -158,7 +162,8 @@
         self.quota = [[self.nodes * 1000.0 / q if q else 0.0, 0.0] for q in quotas]  # [interval, due] a tenant
         self.may_probe, self.most_advice = may_probe, most_advice_ms if may_advise else 0.0
         self.listing_at = 0.0 if asks_for_list else math.inf
-        self.cold_part = COLD_SHARE * fall_multiple / (1.25 if listed_rates == "rough" else 1.0)
+        self.sure = ROUGH_SURE if listed_rates == "rough" else 1.0
+        self.cold_part = COLD_SHARE * fall_multiple * self.sure
         self.cold_from, self.warm_up, self.key_rest = cold_from, max(1.0, warm_up_ms), key_rest_ms
         self.margin = max(MARGIN_MS, 2 * tick_ms)
         self.dests, self.sinks = {}, {}      # by number; sinks leave when gone with no call out
@@ -211,7 +216,7 @@
             listed = rate / 1000.0 if self.has_rates and rate > 0 else None
             if sink.key is None:
                 if apart or dest.key is None:
-                    key = Key(listed, listed and listed / self.nodes)
+                    key = Key(listed, listed and listed / self.nodes, self.sure)
                     key.due = now
                     dest.key = dest.key or key
                 else:
@@ -488,7 +493,7 @@
             return
         if sink.bad > MOSTLY_BAD or sink.run >= ERROR_RUN and outcome != FULL \
                 or sink.run > 1 and outcome == FULL and now - sink.run_since > SHUT_MS \
-                or outcome not in (ERROR, FULL) and now - sink.acked_at > ALONE_MS:
+                or outcome not in (ERROR, FULL) and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
             # The last: a node of little traffic may see one call fail in all of an outage, and counts.
             self._lose(sink, now)
 
