--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -44,6 +44,7 @@
 COLD_SHARE = 0.9        # of this node's part of the fall budget: others send too, and chance needs room
 USUAL_SPAN_MS = 10000.0  # ms: span of the smoothed rate of acked calls, this node's usual part of a key
 SHUT_MS = 2100.0        # ms: a told wait longer than the span that limits are counted in means shut
+SCARCE = 0.7            # of the slots: from here no destination may take more than half of those out
 CROWDED = 0.92          # of the holding room: from here the longest queues are declined
 MARGIN_MS = 12.0        # ms before a bound at which the event is answered; two turns of the caller
 REPORT_LOW = 0.1        # share of the limit left under which a key does not grow
@@ -145,14 +146,13 @@
 
 
 class Dispatcher:
-    def __init__(self, seed, *, streams=(), nodes=1, zone=0, slots=math.inf, room=math.inf, most_sends=8,
+    def __init__(self, seed, *, streams=(), nodes=1, slots=math.inf, room=math.inf, most_sends=8,
                  batch_by_kind=(), apart_by_kind=(), carriage_by_zone=(), halving=False, listed_rates="off",
                  quotas=(), over_quota_utility=1.0, may_probe=False, may_advise=False, most_advice_ms=0.0,
-                 asks_for_list=False, fall_multiple=1.0, fall_ms=2000.0, cold_from=0.15, warm_up_ms=20000.0,
-                 key_rest_ms=0.0, connect_ms=1000.0, crossing_price=0.0, tick_ms=5.0):
-        chance = random.Random(seed)
-        self.spread = chance.uniform
-        self.streams, self.nodes, self.zone = list(streams), max(1, nodes), zone
+                 asks_for_list=False, fall_multiple=1.0, cold_from=0.15, warm_up_ms=20000.0, key_rest_ms=0.0,
+                 tick_ms=5.0):
+        self.spread = random.Random(seed).uniform
+        self.streams, self.nodes = list(streams), max(1, nodes)
         self.slots, self.room, self.most_sends = slots, room * CROWDED, most_sends
         self.batch_by_kind, self.apart_by_kind = list(batch_by_kind), list(apart_by_kind)
         mean = sum(s.utility for s in self.streams) / max(1, len(self.streams))
@@ -237,8 +237,6 @@
                 sink.dest.sinks.remove(sink)
             if not sink.out and not sink.probing:
                 del self.sinks[sink.ident]
-        if self.listing_at < math.inf:
-            self.listing_at = math.inf
 
     def list_failed(self, now):
         self.listing_at = now + self.spread(300.0, 900.0)
@@ -334,24 +332,13 @@
     # ---- behind them
 
     def _urgency(self, evt, now):
-        """What each further ms costs, soon: the loss of utility, less while the SLO time is far."""
-        stream, slack = evt.stream, evt.slo_at - now
-        rest = max(1.0, stream.max_age_ms - stream.slo_ms)
-        if self.halving:
-            lost = 0.7 * evt.weight / max(1.0, stream.slo_ms)
-            if slack < 0 and 0.5 ** (-slack / stream.slo_ms) <= stream.late_utility:
-                lost *= 0.05
-        else:
-            lost = evt.weight * (1 - stream.late_utility) / rest
-        return lost * math.exp(-max(0.0, slack) / max(200.0, stream.slo_ms))
+        """The utility that a further second would cost, once late; less while the SLO time is far."""
+        late = max(now, evt.slo_at)
+        lost = self._value(evt, late) - self._value(evt, late + 1000.0)
+        return lost * math.exp(min(0.0, now - evt.slo_at) / max(200.0, evt.stream.slo_ms))
 
     def _value(self, evt, at):
-        stream = evt.stream
-        late = at - evt.slo_at
-        if late <= 0:
-            return evt.weight
-        if at >= evt.ends_at:
-            return 0.0
+        stream, late = evt.stream, max(0.0, at - evt.slo_at)
         if self.halving:
             return evt.weight * max(stream.late_utility, 0.5 ** (late / max(1.0, stream.slo_ms)))
         rest = max(1.0, stream.max_age_ms - stream.slo_ms)
@@ -359,8 +346,7 @@
 
     def _pick(self, evt, now):
         """(sink, moment, joins a call): the sink to send to now, or None and when there may be one."""
-        best, soonest = None, math.inf
-        rows = []
+        soonest, rows = math.inf, []
         for sink in evt.dest.sinks:
             if evt.maybe_at is not None and evt.stream.effect == DEDUPLICATED \
                     and evt.stream.group != "all" and sink.zone != evt.maybe_zone:
@@ -373,7 +359,9 @@
             soonest = min(soonest, moment)
         if not evt.dest.sinks:
             return None, now + 200.0, False
-        if self.out >= self.slots or not rows:
+        busy = sum(sink.out for sink in evt.dest.sinks)
+        if self.out >= self.slots or not rows or self.out >= SCARCE * self.slots and busy * 2 >= self.out:
+            # The last keeps a destination that hangs from taking the slots of all others before it is quiet.
             return None, math.inf, False
         if rows[0][0].apart:
             took = rows[0][0].key.usual()
@@ -383,21 +371,16 @@
                     best[0].key.pressed = now
                 return None, best[1], False
             return best[0], now, False
-        open_now = [s for s, moment in rows if moment <= now]
-        if not open_now:
-            if evt.dest.key and soonest < math.inf:
+        ready = [s for s, moment in rows if moment <= now]
+        if not ready:
+            if soonest < math.inf:
                 evt.dest.key.pressed = now
             return None, soonest, False
-        for sink in open_now:
-            if sink.out < self._enough(sink):
-                return sink, now, False
-        return min(open_now, key=lambda s: s.out), now, False
+        return next((s for s in ready if s.out < self._enough(s)), min(ready, key=lambda s: s.out)), now, False
 
     def _enough(self, sink):
         """Calls out at which the first in rank has enough: its part of what the key keeps busy."""
-        key = sink.key
-        busy = (key.rate or 0.004) * key.usual() / max(1, len(sink.dest.sinks))
-        return max(1.0, busy)
+        return max(1.0, (sink.key.rate or 0.004) * sink.key.usual() / max(1, len(sink.dest.sinks)))
 
     def _moment(self, sink, now):
         """When this sink may get a call: inf means after some outcome."""
@@ -446,16 +429,14 @@
         return self.spread(0.8, 1.2) * (1 if sink.apart else max(1, len(sink.dest.sinks))) / rate
 
     def _allow(self, evt, sink, now):
-        allow = ALLOW_MS + ALLOW_CALLS * sink.key.usual()
-        if now - sink.cold_since < self.warm_up:
-            allow *= 2
         rest = evt.ends_at - now
-        allow = min(allow, ALLOW_MOST_MS)
-        if evt.stream.effect == DEDUPLICATED:
-            allow = min(allow, ALLOW_WINDOW * evt.stream.window_ms) if evt.stream.window_ms else allow
-        elif evt.stream.effect == NON_IDEMPOTENT:
+        if evt.stream.effect == NON_IDEMPOTENT:
             return max(1.0, rest)     # a time-out would only end it: nothing may follow
-        if evt.stream.effect == IDEMPOTENT:
+        cold = 2.0 if now - sink.cold_since < self.warm_up else 1.0
+        allow = min(cold * (ALLOW_MS + ALLOW_CALLS * sink.key.usual()), ALLOW_MOST_MS)
+        if evt.stream.effect == DEDUPLICATED:
+            allow = min(allow, max(1.0, ALLOW_WINDOW * evt.stream.window_ms))
+        else:
             allow = min(allow, max(ALLOW_MS, ALLOW_AGE * rest))
         return max(1.0, min(allow, rest))
 
--- a/swiftthread/drill/codec.py
+++ b/swiftthread/drill/codec.py
@@ -94,15 +94,14 @@
     try:
         conf = json.loads(bytes(text))
         domain, rules = conf.get("Domain") or {}, conf.get("Obligations") or {}
-        allowed, prices = conf.get("Permissions") or {}, conf.get("Charges") or {}
-        stats = conf.get("Stats") or {}
+        allowed, stats = conf.get("Permissions") or {}, conf.get("Stats") or {}
         streams = [plain.StreamType(
             slo_ms=ms(row.get("Aim")), max_age_ms=ms(row.get("Deadline")), utility=row.get("Value", 1.0),
             late_utility=row.get("LateWorth", 0.0), effect=EFFECTS.get(row.get("Effect"), plain.NON_IDEMPOTENT),
             group=row.get("Group", "cell"), window_ms=ms(row.get("Window")), in_order=bool(row.get("InTurn")))
             for row in conf.get("Profiles") or ()]
         terms = {
-            "streams": streams, "nodes": conf.get("Balancers"), "zone": conf.get("MyZone"),
+            "streams": streams, "nodes": conf.get("Balancers"),
             "slots": domain.get("CallsOut"), "room": allowed.get("MaxOpen"), "most_sends": allowed.get("TryLimit"),
             "batch_by_kind": domain.get("KindBatch"), "apart_by_kind": domain.get("RoutesApart"),
             "carriage_by_zone": domain.get("Carriage"), "halving": domain.get("LosesWorth") == "by_half",
@@ -110,9 +109,8 @@
             "over_quota_utility": conf.get("OverShareWorth"), "may_probe": allowed.get("Probes"),
             "may_advise": allowed.get("RetryAfter"), "most_advice_ms": ms(allowed.get("MaxRetryAfter")),
             "asks_for_list": conf.get("Discovery") == "ask", "fall_multiple": rules.get("FallMultiple"),
-            "fall_ms": ms(rules.get("Fall")), "cold_from": rules.get("ColdFrom"), "warm_up_ms": ms(rules.get("WarmUp")),
-            "key_rest_ms": ms(rules.get("KeyRest")), "connect_ms": ms(allowed.get("ConnectTimeout")),
-            "crossing_price": prices.get("CrossZone"), "tick_ms": ms(conf.get("Period")),
+            "cold_from": rules.get("ColdFrom"), "warm_up_ms": ms(rules.get("WarmUp")),
+            "key_rest_ms": ms(rules.get("KeyRest")), "tick_ms": ms(conf.get("Period")),
         }
     except (ValueError, AttributeError, TypeError) as fault:
         raise Malformed(f"the settings of an instance cannot be read: {fault}") from None
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,131 @@
+"""The decisions, one short trace for each failure found and each rule."""
+import pytest
+
+from trace import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Run
+
+ONE = [(1, 0, 0, 0, 4.0, True)]
+TWO = [(1, 0, 0, 0, 4.0, True), (2, 0, 1, 0, 4.0, True)]
+
+
+def burst(run, tickets, moment=10.0, **event):
+    for ticket in tickets:
+        run.at(moment, lambda t=ticket: run.take(t, **event))
+    return run
+
+
+def sent(run):
+    return [(float(line.split()[0]), int(line.split()[2])) for line in run.lines if " send " in line]
+
+
+def test_sends_keep_the_emission_interval():
+    burst(Run(ONE), range(1, 7)).play(3000.0).as_kept("interval")
+
+
+def test_refusals_halve_and_clean_seconds_lead_back_to_the_even_part():
+    def answers(ticket, sink, now):
+        return (50.0, "full") if ticket in (3, 4) and now < 2000.0 else (50.0, "acked")
+    burst(Run(ONE, answers, nodes=2), range(1, 13)).play(9000.0).as_kept("refusals")
+
+
+def test_a_told_wait_blocks_every_send_to_the_key_and_the_longest_of_a_call_holds():
+    def answers(ticket, sink, now):
+        return (50.0, "full", 400.0 * ticket) if now < 100.0 else (50.0, "acked")
+    run = burst(Run(TWO, answers, batch_by_kind=[3]), (1, 2, 3))
+    burst(run, (4,), 300.0).play(4000.0).as_kept("told_wait")
+    assert all(moment >= 1260.0 for moment, _ in sent(run)[3:])
+
+
+def test_nothing_goes_to_a_draining_endpoint():
+    run = burst(Run(TWO), range(1, 3))
+    first = [(sink, dest, zone, kind, rate, False) for sink, dest, zone, kind, rate, _ in TWO]
+    run.at(300.0, run.list, first)
+    burst(run, (8,), 400.0).play(20000.0).as_kept("drain")
+
+
+@pytest.mark.parametrize("name, stream, sinks", [
+    ("maybe_idempotent", IDEMPOTENT, ONE),
+    ("maybe_non_idempotent", NON_IDEMPOTENT, ONE),
+    ("maybe_in_group", DEDUPLICATED._replace(group="zone"), TWO),
+    ("maybe_anywhere", DEDUPLICATED, TWO),
+])
+def test_what_follows_a_send_that_may_have_run(name, stream, sinks):
+    def answers(ticket, sink, now):
+        return (50.0, "reset") if now < 1000.0 else (50.0, "acked")
+    burst(Run(sinks, answers, streams=[stream]), (1,)).play(20000.0).as_kept(name)
+
+
+def test_the_window_ends_a_deduplicated_event_that_may_have_run():
+    def answers(ticket, sink, now):
+        return (50.0, "error") if now < 100.0 else (50.0, "full", 9000.0)
+    streams = [DEDUPLICATED._replace(group="zone")]
+    burst(Run(ONE, answers, streams=streams), (1,)).play(20000.0).as_kept("window")
+
+
+def test_events_of_a_subject_go_one_at_a_time_and_rest_after_a_time_out():
+    def answers(ticket, sink, now):
+        return None if now < 100.0 else (300.0, "acked")
+    run = Run([(1, 0, 0, 0, 50.0, True)], answers, streams=[IDEMPOTENT._replace(in_order=True)], key_rest_ms=2500.0)
+    burst(run, (1, 2, 3), subject=9)
+    burst(run, (4,), 20.0, subject=8).play(9000.0).as_kept("order")
+
+
+def test_order_waits_for_the_send_of_a_withdrawn_event():
+    run = Run([(1, 0, 0, 0, 50.0, True)], lambda t, s, n: (800.0, "acked"), streams=[IDEMPOTENT._replace(in_order=True)])
+    burst(run, (1, 2), subject=9)
+    run.at(100.0, run.withdraw, 1)
+    run.play(3000.0).as_kept("order_withdrawn")
+
+
+def test_a_silent_sink_takes_no_more_slots():
+    def answers(ticket, sink, now):
+        return None if now > 500.0 else (100.0, "acked")
+    run = Run([(1, 0, 0, 0, 20.0, True), (2, 1, 0, 0, 20.0, True)], lambda t, s, n: answers(t, s, n) if s == 1 else
+              (100.0, "acked"), slots=8)
+    for moment in range(0, 3000, 50):
+        run.at(moment + 10.0, run.take, 1000 + moment, 0)
+        run.at(moment + 10.0, run.take, 5000 + moment, 1)
+    run.play(2500.0)
+    assert max(moment for moment, ticket in sent(run) if ticket < 5000) < 1500.0
+    assert len([1 for moment, ticket in sent(run) if ticket >= 5000 and moment > 1500.0]) >= 15
+
+
+@pytest.mark.parametrize("nodes", [2, 12])
+def test_trials_of_all_nodes_stay_inside_the_fall_budget(nodes):
+    """Twelve nodes that each tried a small destination once a second pushed it over as it came back."""
+    def answers(ticket, sink, now):
+        return (30.0, "unreached") if 1000.0 < now < 20000.0 else (100.0, "acked")
+    run = Run([(1, 0, 0, 0, 4.0, True)], answers, nodes=nodes)
+    for moment in range(0, 60000, 500):
+        run.at(moment + 10.0, run.take, moment + 1)
+    run.play(40000.0)
+    trials = [moment for moment, _ in sent(run) if 2000.0 < moment < 20000.0]
+    budget = 2.0 * 0.2 * 4.0 * 18.0      # multiple x cold share x rate x seconds
+    assert 1 <= len(trials) <= budget / nodes * (1 if nodes == 2 else 4)
+    cold = [moment for moment, _ in sent(run) if 20000.0 <= moment < 22000.0]
+    assert len(cold) <= 3
+    assert len([moment for moment, _ in sent(run) if 32000.0 < moment < 40000.0]) >= 4
+
+
+def test_a_slow_cold_call_does_not_begin_the_outage_anew():
+    def answers(ticket, sink, now):
+        return (30.0, "unreached") if 1000.0 < now < 5000.0 else None if ticket == 20 else (100.0, "acked")
+    run = Run(ONE, answers)
+    for ticket in range(1, 40):
+        run.at(400.0 * ticket, run.take, ticket)
+    run.play(20000.0).as_kept("cold_time_out")
+
+
+def test_events_share_a_call_and_its_booking():
+    burst(Run(ONE, batch_by_kind=[3], slots=2), range(1, 8)).play(3000.0).as_kept("batch")
+
+
+def test_a_held_event_is_answered_before_its_max_age():
+    run = Run([(1, 0, 0, 0, 1.0, True)], may_advise=True, most_advice_ms=3000.0, streams=[IDEMPOTENT])
+    burst(run, (1, 2, 3, 4), left=2500.0)
+    burst(run, (5,), 20.0, dest=3, left=400.0).play(9000.0).as_kept("max_age")
+
+
+def test_a_route_without_a_fee_is_waited_for_until_that_costs_more():
+    routes = [(1, 0, 0, 0, 1.0, True), (2, 0, 1, 0, 1.0, True)]
+    run = Run(routes, apart_by_kind=[True], carriage_by_zone=[0.05, 0.0])
+    burst(run, range(1, 5)).play(6000.0).as_kept("fees")
