--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -17,7 +17,7 @@
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
 START_SHARE = 1.0       # x listed / nodes: first rate; nodes' traffic differs, so more than an even part
-GROW = 0.10             # x even part each second: clean growth past the level; slow beside a halving
+GROW = 0.035            # x listed each second: clean growth past the level; slow beside a halving
 MOST_RATE = 1.5         # x listed: no node needs more than all of it, and the list may be somewhat low
 CUT = 0.5               # page: a refusal, an error run or risen latency halves the rate
 LEVEL_KEPT = 0.9        # x level: what a refusal leaves of the level that clean seconds lead back to
@@ -113,7 +113,7 @@
             if now - self.changed >= CLEAN_MS:
                 self.rate, self.changed = min(self.level, self.rate / CUT), now
         elif now - self.pressed < CLEAN_MS and self.left > REPORT_LOW:
-            step = GROW * (self.even or LEAST_RATE) / (self.rate * 1000.0)
+            step = GROW * self.left * (self.listed or LEAST_RATE) / (self.rate * 1000.0)
             most = MOST_RATE * self.listed if self.listed else math.inf
             self.rate = self.level = max(self.rate, min(self.rate + step, most))
 
