Routes with a fee are weighed against the queue, not the next slot; far less CPU

Holds against any backlog where routes differ in price; hurts where the queue is about to be served elsewhere.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -60,14 +60,11 @@
         self.rate = even and min(listed, START_SHARE * even)
         self.level = self.rate
         self.acks = deque()                              # moments; emptied after a second
-        self.took, self.low = deque(maxlen=WINDOW), None
+        self.took, self.low, self.usual = deque(maxlen=WINDOW), None, USUAL_MS
         self.since, self.run, self.left = 0, 0, 1.0
         self.ride = (None, -math.inf, 0)                 # call that others may join this turn
         self.part, self.part_at = 0.0, None              # usual acked calls per ms, and when last moved
 
-    def usual(self):
-        return median(self.took) if self.took else USUAL_MS
-
     def ready_at(self):
         """When the next send may go; a little burst tolerance, but never inside a told wait."""
         early = BURST / self.rate if self.rate else 0.0
@@ -100,10 +97,11 @@
         while now - self.acks[0] > 1000.0:
             self.acks.popleft()
         self.took.append(latency)
+        self.usual = median(self.took)
         self.since += 1
         if self.since >= WINDOW // 2 and len(self.took) == WINDOW:
-            self.since, mid = 0, median(self.took)
-            self.low = mid if self.low is None else min(mid, self.low * 1.03)
+            self.since = 0
+            self.low = min(self.usual, self.low * 1.03 if self.low else self.usual)
             # Guards against a rise seen everywhere at once: that is not this destination's overload.
             if self.risen() and not slow_everywhere():
                 self.cut(now, False)
@@ -118,7 +116,7 @@
             self.rate = self.level = max(self.rate, min(self.rate + step, most))
 
     def risen(self):
-        return self.low is not None and len(self.took) == WINDOW and median(self.took) > RISEN * self.low
+        return self.low is not None and len(self.took) == WINDOW and self.usual > RISEN * self.low
 
 
 class Sink:
@@ -168,6 +166,7 @@
         self.margin = max(MARGIN_MS, 2 * tick_ms)
         self.dests, self.sinks = {}, {}      # by number; sinks leave when gone with no call out
         self.turns = {}      # subject -> [events in order taken, rest until]; emptied when over and rested
+        self.lost = {}       # sinks that are down, in the order they went; emptied by an ack or the list
         self.out = self.held = 0
 
     # ---- what the node is told
@@ -236,6 +235,7 @@
             if sink in sink.dest.sinks:
                 sink.dest.sinks.remove(sink)
             if not sink.out and not sink.probing:
+                self.lost.pop(sink, None)
                 del self.sinks[sink.ident]
 
     def list_failed(self, now):
@@ -261,16 +261,15 @@
             return self._give_up(evt, now)
         if self.held > self.room and self._longest(evt.dest) and self._harmless(evt):
             return self._give_up(evt, now)
-        evt.ask_at, evt.by_outcome = self._last_moment(evt, now), True
+        evt.ask_at, evt.by_outcome = self._last_moment(evt, now), False
         if evt.subject:
             line, rest = self.turns[evt.subject]
             if line[0] is not evt or (rest > now and evt.sends == 0):
-                if line[0] is evt:
-                    evt.ask_at = min(evt.ask_at, rest)
+                evt.ask_at, evt.by_outcome = min(evt.ask_at, max(rest, now + 1.0) if line[0] is evt else math.inf), True
                 return Later()
         sink, moment, joins = self._pick(evt, now)
         if sink is None:
-            evt.ask_at = min(evt.ask_at, moment)
+            evt.ask_at, evt.by_outcome = min(evt.ask_at, moment), moment == math.inf
             return Later()
         return self._send(evt, sink, joins, now)
 
@@ -308,7 +307,7 @@
         """Sinks to probe now: failing ones with events waiting, at the pace of trials."""
         if not self.may_probe:
             return []
-        found = [s for s in self.sinks.values() if self._wants_probe(s) and s.cold_due <= now >= s.key.blocked]
+        found = [s for s in self.lost if self._wants_probe(s) and s.cold_due <= now >= s.key.blocked]
         for sink in found:
             sink.probing, sink.cold_due = True, now + self._cold_pause(sink, now)
         return found
@@ -326,7 +325,7 @@
     def next_moment(self, now):
         moments = [self.listing_at]
         if self.may_probe:
-            moments += [max(s.cold_due, s.key.blocked) for s in self.sinks.values() if self._wants_probe(s)]
+            moments += [max(s.cold_due, s.key.blocked) for s in self.lost if self._wants_probe(s)]
         return min(m if m > now else math.inf for m in moments)
 
     # ---- behind them
@@ -364,8 +363,12 @@
             # The last keeps a destination that hangs from taking the slots of all others before it is quiet.
             return None, math.inf, False
         if rows[0][0].apart:
-            took = rows[0][0].key.usual()
-            best = max(rows, key=lambda r: self._value(evt, max(r[1], now) + took) - r[0].fee)
+            # All that wait here wait for the slot of a better route too: the queue's length says how long.
+            def worth(row):
+                queue = evt.dest.held / row[0].key.rate if row[1] > now and row[0].key.rate else 0.0
+                start = max(row[1], now) + queue
+                return self._value(evt, start + row[0].key.usual) - row[0].fee, -start
+            best = max(rows, key=worth)
             if best[1] > now:
                 if best[1] < math.inf and best[1] > best[0].key.blocked:
                     best[0].key.pressed = now
@@ -380,7 +383,7 @@
 
     def _enough(self, sink):
         """Calls out at which the first in rank has enough: its part of what the key keeps busy."""
-        return max(1.0, (sink.key.rate or 0.004) * sink.key.usual() / max(1, len(sink.dest.sinks)))
+        return max(1.0, (sink.key.rate or 0.004) * sink.key.usual / max(1, len(sink.dest.sinks)))
 
     def _moment(self, sink, now):
         """When this sink may get a call: inf means after some outcome."""
@@ -389,7 +392,7 @@
             if sink.out or sink.probing or (self.may_probe and sink.silent and not sink.proved):
                 return math.inf
             return max(now if sink.proved else sink.cold_due, key.blocked)
-        quiet = max(QUIET_MS, QUIET_CALLS * key.usual())
+        quiet = max(QUIET_MS, QUIET_CALLS * key.usual)
         if sink.out and now - sink.heard > quiet * (1 if sink.out > 1 else 2):
             # Bookings never learn when calls end: a silent sink would take slot after slot.
             return math.inf
@@ -433,7 +436,7 @@
         if evt.stream.effect == NON_IDEMPOTENT:
             return max(1.0, rest)     # a time-out would only end it: nothing may follow
         cold = 2.0 if now - sink.cold_since < self.warm_up else 1.0
-        allow = min(cold * (ALLOW_MS + ALLOW_CALLS * sink.key.usual()), ALLOW_MOST_MS)
+        allow = min(cold * (ALLOW_MS + ALLOW_CALLS * sink.key.usual), ALLOW_MOST_MS)
         if evt.stream.effect == DEDUPLICATED:
             allow = min(allow, max(1.0, ALLOW_WINDOW * evt.stream.window_ms))
         else:
@@ -451,6 +454,7 @@
             sink.acked_at, sink.run, sink.bad = now, 0, sink.bad * (1 - SMOOTH)
             if sink.down:
                 sink.down, sink.silent, sink.cold_since = False, False, now
+                self.lost.pop(sink, None)
                 sink.bad = min(sink.bad, MOSTLY_BAD / 2)
                 key.part_at = None      # the outage does not lessen the usual part
             key.acked(now, latency, self._slow_everywhere)
@@ -479,7 +483,7 @@
             self._lose(sink, now)
 
     def _lose(self, sink, now):
-        sink.down = True
+        sink.down = self.lost[sink] = True
         sink.cold_due = now + max(TRY_MS, self._cold_pause(sink, now))
 
     def _told(self, key, until):
