A lone reset is no outage; the share of failed calls is smoother

Guards against connections cut here and there, whatever cuts them; hurts where a crash shows as one reset only, then the next call tells.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -32,8 +32,8 @@
 WINDOW = 24             # latencies for a median; fewer make chance look like a rise at a cv of 1.4
 RISEN = 2.0             # page: latency has risen when the median is over this many times its low
 USUAL_MS = 350.0        # ms: latency assumed before the first was seen
-MOSTLY_BAD = 0.5        # share of failed calls, smoothed, from which a sink counts as failing
-SMOOTH = 0.2            # weight of the newest call in that share; about the last ten calls
+MOSTLY_BAD = 0.6        # share of failed calls, smoothed, from which a sink counts as failing
+SMOOTH = 0.15           # weight of the newest call in that share; about the last dozen calls
 QUIET_MS = 700.0        # ms without an outcome before a sink with calls out is quiet; over a brief stall
 QUIET_CALLS = 4.0       # x usual latency: the same for slow sinks
 TRY_MS = 300.0          # ms: least pause before a failing sink is tried; a few round trips
@@ -478,7 +478,7 @@
             return
         if sink.bad > MOSTLY_BAD or sink.run >= ERROR_RUN and outcome != FULL \
                 or sink.run > 1 and outcome == FULL and now - sink.run_since > SHUT_MS \
-                or outcome not in (ERROR, FULL) and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
+                or outcome in (UNREACHED, TIMEOUT) and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
             # The last: a node of little traffic may see one call fail in all of an outage, and counts.
             self._lose(sink, now)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -129,3 +129,13 @@
     routes = [(1, 0, 0, 0, 1.0, True), (2, 0, 1, 0, 1.0, True)]
     run = Run(routes, apart_by_kind=[True], carriage_by_zone=[0.05, 0.0])
     burst(run, range(1, 5)).play(6000.0).as_kept("fees")
+
+
+def test_resets_here_and_there_are_no_outage():
+    """A fifth of all calls were reset everywhere; each lone one began an outage and a ramp of ten seconds."""
+    def answers(ticket, sink, now):
+        return (50.0, "reset") if ticket % 4 == 0 and now < 100.0 + 400.0 * ticket else (50.0, "acked")
+    run = Run(ONE, answers)
+    for ticket in range(1, 24):
+        run.at(400.0 * ticket, run.take, ticket)
+    run.play(20000.0).as_kept("lone_resets")
