Limits told in answers replace the listed rate

A roughly listed rate held the ramp and the floor at seven tenths although each answer tells the limit.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -16,7 +16,6 @@
                                UNREACHED, UNSENT, Decline, Discard, Event, Later, Send, Wait)
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
-START_SHARE = 1.0       # x listed / nodes: first rate; nodes' traffic differs, so more than an even part
 GROW = 0.035            # x listed each second: clean growth past the level; slow beside a halving
 MOST_RATE = 1.5         # x listed: no node needs more than all of it, and the list may be somewhat low
 CUT = 0.5               # page: a refusal, an error run or risen latency halves the rate
@@ -47,7 +46,6 @@
 SCARCE = 0.7            # of the slots: from here no destination may take more than half of those out
 CROWDED = 0.92          # of the holding room: from here the longest queues are declined
 MARGIN_MS = 12.0        # ms before a bound at which the event is answered; two turns of the caller
-REPORT_LOW = 0.1        # share of the limit left under which a key does not grow
 
 
 class Key:
@@ -55,10 +53,10 @@
 
     def __init__(self, listed, even, sure):
         self.due = self.blocked = self.changed = self.pressed = -math.inf
-        self.listed, self.even = listed, even            # calls per ms; None: no listed rate
+        self.named = self.listed = listed                # calls per ms, as the list names it and as held true
+        self.even = even                                 # this node's part if all had the same; None: not listed
         self.sure, self.served = sure, True              # trust in the listed rate; an ack since the last cut
-        self.rate = even and min(listed, START_SHARE * even)
-        self.level = self.rate
+        self.rate = self.level = even                    # None: unpaced until the first cut
         self.acks = deque()                              # moments; emptied after a second
         self.took, self.low, self.usual = deque(maxlen=WINDOW), None, USUAL_MS
         self.since, self.run, self.left = 0, 0, 1.0
@@ -110,7 +108,7 @@
         if self.rate < self.level:
             if now - self.changed >= CLEAN_MS:
                 self.rate, self.changed = min(self.level, self.rate / CUT), now
-        elif now - self.pressed < CLEAN_MS and self.left > REPORT_LOW:
+        elif now - self.pressed < CLEAN_MS:
             step = GROW * self.left * (self.listed or LEAST_RATE) / (self.rate * 1000.0)
             most = MOST_RATE * self.listed if self.listed else math.inf
             self.rate = self.level = max(self.rate, min(self.rate + step, most))
@@ -161,7 +159,7 @@
         self.may_probe, self.most_advice = may_probe, most_advice_ms if may_advise else 0.0
         self.listing_at = 0.0 if asks_for_list else math.inf
         self.sure = ROUGH_SURE if listed_rates == "rough" else 1.0
-        self.cold_part = COLD_SHARE * fall_multiple * self.sure
+        self.cold_part = COLD_SHARE * fall_multiple
         self.cold_from, self.warm_up, self.key_rest = cold_from, max(1.0, warm_up_ms), key_rest_ms
         self.margin = max(MARGIN_MS, 2 * tick_ms)
         self.dests, self.sinks = {}, {}      # by number; sinks leave when gone with no call out
@@ -214,17 +212,12 @@
             apart = kind < len(self.apart_by_kind) and self.apart_by_kind[kind]
             listed = rate / 1000.0 if self.has_rates and rate > 0 else None
             if sink.key is None:
-                if apart or dest.key is None:
-                    key = Key(listed, listed and listed / self.nodes, self.sure)
-                    key.due = now
-                    dest.key = dest.key or key
-                else:
-                    key = dest.key
-                sink.key = key
-            if listed and listed != sink.key.listed and sink.key.listed:
-                change = listed / sink.key.listed
-                sink.key.rate, sink.key.level = sink.key.rate * change, sink.key.level * change
-                sink.key.listed, sink.key.even = listed, listed / self.nodes
+                sink.key = Key(listed, listed and listed / self.nodes, self.sure) if apart else dest.key
+                sink.key = sink.key or Key(listed, listed and listed / self.nodes, self.sure)
+                dest.key = dest.key or sink.key
+            elif listed and listed != sink.key.named:
+                sink.key.named = sink.key.listed = listed
+                sink.key.even, sink.key.sure = listed / self.nodes, self.sure
             sink.apart, sink.ready = bool(apart), ready
             sink.batch = self.batch_by_kind[kind] if kind < len(self.batch_by_kind) else 1
             sink.fee = self.fees[zone] if apart and zone < len(self.fees) else 0.0
@@ -428,7 +421,7 @@
         since = now - sink.cold_since
         present = self.cold_from if sink.down else self.cold_from + (1 - self.cold_from) * since / self.warm_up
         key = sink.key
-        rate = self.cold_part * present * (key.part + (key.even or key.part or LEAST_RATE)) / 2
+        rate = self.cold_part * key.sure * present * (key.part + (key.even or key.part or LEAST_RATE)) / 2
         return self.spread(0.8, 1.2) * (1 if sink.apart else max(1, len(sink.dest.sinks))) / rate
 
     def _allow(self, evt, sink, now):
@@ -446,7 +439,11 @@
     def _learn(self, sink, outcome, now, latency, report):
         key = sink.key
         if report:
-            key.left = report.get("x0", 1.0) if report.get("x1") else 1.0
+            limit = report.get("x1", 0.0) / 1000.0
+            key.left = report.get("x0", 1.0) if limit > 0 else 1.0
+            if limit > 0 and key.listed:    # what the endpoint says replaces a rough list, noise smoothed
+                key.listed += (limit - key.listed) * (SMOOTH if key.sure == 1.0 else 1.0)
+                key.even, key.sure = key.listed / self.nodes, 1.0
         if outcome in (CANCELLED, UNSENT):
             return
         sink.heard = now
