A fall of the told limit is followed at once

Guards against limits lowered under load; hurts for a moment where a report is wrong by four tenths.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -12,8 +12,8 @@
 from collections import deque
 from statistics import median
 
-from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, ERROR, FULL, IDEMPOTENT, NON_IDEMPOTENT, TIMEOUT,
-                               UNREACHED, UNSENT, Decline, Discard, Event, Later, Send, Wait)
+from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, ERROR, FULL, IDEMPOTENT, NON_IDEMPOTENT,
+                               TIMEOUT, UNREACHED, UNSENT, Decline, Discard, Event, Later, Send, Wait)
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
 GROW = 0.035            # x listed each second: clean growth past the level; slow beside a halving
@@ -42,6 +42,7 @@
 ALLOW_AGE = 0.6         # of the rest of the max age, for sends that may run again
 COLD_SHARE = 0.9        # of this node's part of the fall budget: others send too, and chance needs room
 USUAL_SPAN_MS = 10000.0  # ms: span of the smoothed rate of acked calls, this node's usual part of a key
+FELL = 0.6              # of the limit held true: a told limit below that is a fall, not noise
 SHUT_MS = 2100.0        # ms: a told wait longer than the span that limits are counted in means shut
 SCARCE = 0.7            # of the slots: from here no destination may take more than half of those out
 CROWDED = 0.92          # of the holding room: from here the longest queues are declined
@@ -54,7 +55,7 @@
     def __init__(self, listed, even, sure):
         self.due = self.blocked = self.changed = self.pressed = -math.inf
         self.named = self.listed = listed                # calls per ms, as the list names it and as held true
-        self.even = even                                 # this node's part if all had the same; None: not listed
+        self.even = even                                 # the part of one of equal nodes; None: not listed
         self.sure, self.served = sure, True              # trust in the listed rate; an ack since the last cut
         self.rate = self.level = even                    # None: unpaced until the first cut
         self.acks = deque()                              # moments; emptied after a second
@@ -155,7 +156,7 @@
         self.fees = [fee * mean for fee in carriage_by_zone]          # utility units, by zone
         self.halving, self.has_rates = halving, listed_rates in ("nominal", "rough")
         self.over_quota = over_quota_utility
-        self.quota = [[self.nodes * 1000.0 / q if q else 0.0, 0.0] for q in quotas]  # [interval, due] a tenant
+        self.quota = [[1000.0 * self.nodes / q if q else 0.0, 0.0] for q in quotas]  # [interval, due]
         self.may_probe, self.most_advice = may_probe, most_advice_ms if may_advise else 0.0
         self.listing_at = 0.0 if asks_for_list else math.inf
         self.sure = ROUGH_SURE if listed_rates == "rough" else 1.0
@@ -167,16 +168,14 @@
         self.lost = {}       # sinks that are down, in the order they went; emptied by an ack or the list
         self.out = self.held = 0
 
-    # ---- what the node is told
-
     def take(self, now, stream_no, dest_no, left, tenant=0, subject=0, again=False):
         evt = Event()
         evt.stream, evt.dest = self.streams[stream_no], self.dests.get(dest_no) or self._dest(dest_no)
         evt.subject = subject if evt.stream.in_order else 0
         evt.ends_at = now + left
         evt.slo_at = evt.ends_at - evt.stream.max_age_ms + evt.stream.slo_ms
-        evt.weight, evt.over, evt.sends, evt.sink, evt.call = self._weight(evt, tenant, now), False, 0, None, None
-        evt.sent_at = evt.maybe_at = evt.maybe_zone = None
+        evt.weight, evt.over, evt.sends = self._weight(evt, tenant, now), False, 0
+        evt.sink = evt.call = evt.sent_at = evt.maybe_at = evt.maybe_zone = None
         evt.ask_at, evt.by_outcome = now, False
         evt.dest.held += 1
         self.held += 1
@@ -243,8 +242,6 @@
     def withdrawn(self, evt, now):
         self._end(evt)
 
-    # ---- the three calls
-
     def in_order(self, events, now):
         return sorted(events, key=lambda evt: (-self._urgency(evt, now), evt.slo_at))
 
@@ -258,7 +255,8 @@
         if evt.subject:
             line, rest = self.turns[evt.subject]
             if line[0] is not evt or (rest > now and evt.sends == 0):
-                evt.ask_at, evt.by_outcome = min(evt.ask_at, max(rest, now + 1.0) if line[0] is evt else math.inf), True
+                turn_at = max(rest, now + 1.0) if line[0] is evt else math.inf
+                evt.ask_at, evt.by_outcome = min(evt.ask_at, turn_at), True
                 return Later()
         sink, moment, joins = self._pick(evt, now)
         if sink is None:
@@ -294,8 +292,6 @@
     def wait(self, evt, now):
         return Wait(max(now, evt.ask_at), evt.by_outcome)
 
-    # ---- probes
-
     def probes(self, now):
         """Sinks to probe now: failing ones with events waiting, at the pace of trials."""
         if not self.may_probe:
@@ -321,8 +317,6 @@
             moments += [max(s.cold_due, s.key.blocked) for s in self.lost if self._wants_probe(s)]
         return min(m if m > now else math.inf for m in moments)
 
-    # ---- behind them
-
     def _urgency(self, evt, now):
         """The utility that a further second would cost, once late; less while the SLO time is far."""
         late = max(now, evt.slo_at)
@@ -372,7 +366,8 @@
             if soonest < math.inf:
                 evt.dest.key.pressed = now
             return None, soonest, False
-        return next((s for s in ready if s.out < self._enough(s)), min(ready, key=lambda s: s.out)), now, False
+        first = next((s for s in ready if s.out < self._enough(s)), None)
+        return first or min(ready, key=lambda s: s.out), now, False
 
     def _enough(self, sink):
         """Calls out at which the first in rank has enough: its part of what the key keeps busy."""
@@ -418,8 +413,8 @@
         """Guards a destination that is out or returns cold: this node's part of the fall budget, less some
         for chance, for trials and probes as for events. The part lies between the node's usual share and
         an even one: both add up over the nodes, however many there are."""
-        since = now - sink.cold_since
-        present = self.cold_from if sink.down else self.cold_from + (1 - self.cold_from) * since / self.warm_up
+        since = 0.0 if sink.down else now - sink.cold_since
+        present = self.cold_from + (1 - self.cold_from) * since / self.warm_up
         key = sink.key
         rate = self.cold_part * key.sure * present * (key.part + (key.even or key.part or LEAST_RATE)) / 2
         return self.spread(0.8, 1.2) * (1 if sink.apart else max(1, len(sink.dest.sinks))) / rate
@@ -441,9 +436,10 @@
         if report:
             limit = report.get("x1", 0.0) / 1000.0
             key.left = report.get("x0", 1.0) if limit > 0 else 1.0
-            if limit > 0 and key.listed:    # what the endpoint says replaces a rough list, noise smoothed
-                key.listed += (limit - key.listed) * (SMOOTH if key.sure == 1.0 else 1.0)
-                key.even, key.sure = key.listed / self.nodes, 1.0
+            if limit > 0 and key.listed:    # it replaces the listed rate: noise smoothed, a fall at once
+                fresh = key.sure < 1.0 or limit < FELL * key.listed
+                key.listed += (limit - key.listed) * (1.0 if fresh else SMOOTH)
+                key.even, key.sure, key.rate = key.listed / self.nodes, 1.0, min(key.rate, key.listed)
         if outcome in (CANCELLED, UNSENT):
             return
         sink.heard = now
@@ -475,7 +471,8 @@
             return
         if sink.bad > MOSTLY_BAD or sink.run >= ERROR_RUN and outcome != FULL \
                 or sink.run > 1 and outcome == FULL and now - sink.run_since > SHUT_MS \
-                or outcome in (UNREACHED, TIMEOUT) and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
+                or outcome in (UNREACHED, TIMEOUT) \
+                and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
             # The last: a node of little traffic may see one call fail in all of an outage, and counts.
             self._lose(sink, now)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -139,3 +139,13 @@
     for ticket in range(1, 24):
         run.at(400.0 * ticket, run.take, ticket)
     run.play(20000.0).as_kept("lone_resets")
+
+
+def test_a_fall_of_the_told_limit_is_followed_at_once():
+    """A limit fell to a seventh; refused calls used it up while the nodes kept to the listed rate."""
+    run = Run([(1, 0, 0, 0, 20.0, True)], nodes=2)
+    node, sink = run.inst.node, (run.play(1.0), run.inst.node.sinks[1])[1]
+    for moment, limit in ((10.0, 20.0), (20.0, 21.0), (30.0, 3.0)):
+        node._learn(sink, "acked", moment, 50.0, {"x0": 0.5, "x1": limit})
+        run.lines.append(f"told {limit}: rate {sink.key.rate * 1000:.2f}, even part {sink.key.even * 1000:.2f}")
+    run.as_kept("told_limit")
