--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -79,7 +79,8 @@
             return
         if self.rate is None:
             served = sum(1 for at in self.acks if now - at <= 1000.0) / 1000.0
-            self.rate = self.level = max(LEAST_RATE, served)
+            self.rate = self.level = max(LEAST_RATE / CUT, served)
+            self.due = now + 1.0 / self.rate     # nothing was booked while it was unpaced
         # The even part of a listed rate is this node's due: refusals lead back to it, not below, unless the
         # key has served nothing since the last cut, which says that the list is wrong.
         due = self.even * self.sure if self.even and self.served else LEAST_RATE / 4
@@ -163,14 +164,14 @@
         self.cold_part = COLD_SHARE * fall_multiple
         self.cold_from, self.warm_up, self.key_rest = cold_from, max(1.0, warm_up_ms), key_rest_ms
         self.margin = max(MARGIN_MS, 2 * tick_ms)
-        self.dests, self.sinks = {}, {}      # by number; sinks leave when gone with no call out
+        self.dests, self.sinks = {}, {}      # by number, as the list names them; sinks leave when long gone
         self.turns = {}      # subject -> [events in order taken, rest until]; emptied when over and rested
         self.lost = {}       # sinks that are down, in the order they went; emptied by an ack or the list
         self.out = self.held = 0
 
-    def take(self, now, stream_no, dest_no, left, tenant=0, subject=0, again=False):
+    def take(self, now, stream_no, dest_no, left, tenant=0, subject=0):
         evt = Event()
-        evt.stream, evt.dest = self.streams[stream_no], self.dests.get(dest_no) or self._dest(dest_no)
+        evt.stream, evt.dest = self.streams[stream_no], self.dests.setdefault(dest_no, Destination(dest_no))
         evt.subject = subject if evt.stream.in_order else 0
         evt.ends_at = now + left
         evt.slo_at = evt.ends_at - evt.stream.max_age_ms + evt.stream.slo_ms
@@ -185,10 +186,6 @@
             self.turns.setdefault(evt.subject, [deque(), -math.inf])[0].append(evt)
         return evt
 
-    def _dest(self, number):
-        self.dests[number] = dest = Destination(number)
-        return dest
-
     def _weight(self, evt, tenant, now):
         if tenant >= len(self.quota) or not self.quota[tenant][0]:
             return evt.stream.utility
@@ -201,7 +198,7 @@
     def listed(self, entries, whole, now):
         named = set()
         for ident, dest_no, zone, kind, rate, ready in entries:
-            dest = self.dests.get(dest_no) or self._dest(dest_no)
+            dest = self.dests.setdefault(dest_no, Destination(dest_no))
             sink = self.sinks.get(ident)
             if sink is None:
                 if not ready:
@@ -226,7 +223,9 @@
             sink.ready = False
             if sink in sink.dest.sinks:
                 sink.dest.sinks.remove(sink)
-            if not sink.out and not sink.probing:
+            # One that comes back under its id within an outage or a told wait must find both still known.
+            known_until = max(sink.heard + 2 * self.warm_up, sink.key.blocked)
+            if not sink.out and not sink.probing and now > known_until:
                 self.lost.pop(sink, None)
                 del self.sinks[sink.ident]
 
@@ -410,9 +409,9 @@
         return Send(sink, self._allow(evt, sink, now))
 
     def _cold_pause(self, sink, now):
-        """Guards a destination that is out or returns cold: this node's part of the fall budget, less some
-        for chance, for trials and probes as for events. The part lies between the node's usual share and
-        an even one: both add up over the nodes, however many there are."""
+        """Guards a destination that is out or returns cold: this node's part of the fall budget, for trials
+        and probes as for events. The part lies between the node's usual share and an even one: both add
+        up over the nodes, however many there are. Hurts where the others leave theirs unused."""
         since = 0.0 if sink.down else now - sink.cold_since
         present = self.cold_from + (1 - self.cold_from) * since / self.warm_up
         key = sink.key
@@ -520,7 +519,8 @@
         self._end(evt)
         if not harmless:
             return Discard()
-        advice = max(500.0, key.due - now, key.blocked - now) if key else 500.0
+        queue = evt.dest.held / key.rate if key and key.rate else 0.0
+        advice = max(500.0, queue, key.blocked - now if key else 0.0)
         return Decline(min(self.most_advice, advice))
 
     def _end(self, evt):
--- a/swiftthread/drill/hosting.py
+++ b/swiftthread/drill/hosting.py
@@ -136,10 +136,10 @@
             return None
         inst = self.instance(fields[0])
         if code == codec.JOB_IN:
-            _, ticket, left, tenant, subject, _work, stream, marks, dest = fields
+            _, ticket, left, tenant, subject, _work, stream, _marks, dest = fields
             if ticket in inst.held:
                 raise codec.Malformed(f"ticket {ticket} was handed in twice")
-            evt = inst.node.take(now, stream, int(dest), left * 1000.0, tenant, subject, bool(marks & 2))
+            evt = inst.node.take(now, stream, int(dest), left * 1000.0, tenant, subject)
             evt.ticket = ticket
             inst.held[ticket] = evt
             inst.ask(evt)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -149,3 +149,19 @@
         node._learn(sink, "acked", moment, 50.0, {"x0": 0.5, "x1": limit})
         run.lines.append(f"told {limit}: rate {sink.key.rate * 1000:.2f}, even part {sink.key.even * 1000:.2f}")
     run.as_kept("told_limit")
+
+
+def test_a_wait_and_an_outage_outlast_an_endpoint_that_leaves_the_list_and_returns():
+    routes = [(1, 0, 0, 0, 4.0, True)]
+    run = burst(Run(routes, lambda t, s, n: (50.0, "full", 3000.0) if n < 100.0 else (50.0, "acked"),
+                    apart_by_kind=[True]), (1,))
+    run.at(500.0, run.list, [(1, 0, 0, 0, 4.0, False)])
+    run.at(900.0, run.list, routes)
+    run.play(6000.0).as_kept("wait_outlasts_list")
+    assert sent(run)[1][0] >= 3060.0
+
+
+def test_an_unlisted_key_is_unpaced_until_its_first_cut_and_never_starts_under_one_a_second():
+    def answers(ticket, sink, now):
+        return (50.0, "full") if now < 100.0 and ticket > 4 else (50.0, "acked")
+    burst(Run(ONE, answers, listed_rates="off"), range(1, 9)).play(9000.0).as_kept("unlisted")
