--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -378,7 +378,7 @@
         if sink.down:
             if sink.out or sink.probing or (self.may_probe and sink.silent and not sink.proved):
                 return math.inf
-            return max(now if sink.proved else sink.cold_due, key.blocked)
+            return max(now if sink.proved else sink.cold_due, key.ready_at())
         quiet = max(QUIET_MS, QUIET_CALLS * key.usual)
         if sink.out and now - sink.heard > quiet * (1 if sink.out > 1 else 2):
             # Bookings never learn when calls end: a silent sink would take slot after slot.
@@ -483,7 +483,7 @@
         """The page: a told wait blocks the key to its end, and the due moment restarts there."""
         if until > key.blocked:
             key.blocked = until
-            key.due = max(key.due, until + self.spread(0.0, 0.3) / (key.rate or 0.004))
+            key.due = max(key.due, until + self.spread(0.0, 1.0) / (key.rate or 0.004))
 
     def _slow_everywhere(self):
         keys = {id(s.key): s.key for s in self.sinks.values()}.values()
