--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -109,7 +109,8 @@
             return
         if self.rate < self.level:
             if now - self.changed >= CLEAN_MS:
-                self.rate, self.changed = min(self.level, self.rate / CUT), now
+                seconds = min(10.0, (now - self.changed) // CLEAN_MS)    # a slow key is seldom asked
+                self.rate, self.changed = min(self.level, self.rate / CUT ** seconds), now
         elif now - self.pressed < CLEAN_MS:
             step = GROW * self.left * (self.listed or LEAST_RATE) / (self.rate * 1000.0)
             most = MOST_RATE * self.listed if self.listed else math.inf
