The first interval is a part among the nodes busy at a time, not among all

Cause: an even part of a listed rate among 200 nodes is one call in tens of seconds, while a destination stands idle and each node has an event for it now and then. A node now counts on the rate divided by the nodes that can be expected to have an event for the key within a second, were it at its limit: with two or three nodes that is still nearly an even part. The fall budget keeps the even part of all nodes (fair).

Refusals rose: refusals do not yet lead far enough below that part.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -42,6 +42,7 @@
 ALLOW_AGE = 0.6         # of the rest of the max age, for sends that may run again
 COLD_SHARE = 1.0        # of this node's part of the fall budget, which counts the limit, not all capacity
 USUAL_SPAN_MS = 10000.0  # ms: span of the smoothed rate of acked calls, this node's usual part of a key
+BUSY_MS = 1000.0        # ms: nodes that have an event for a key within it share its rate; a few queue moments
 FELL = 0.6              # of the limit held true: a told limit below that is a fall, not noise
 SHUT_MS = 2100.0        # ms: a told wait longer than the span that limits are counted in means shut
 SCARCE = 0.7            # of the slots: from here no destination may take more than half of those out
@@ -52,18 +53,31 @@
 class Key:
     """One due moment: a destination, or a route where routes are kept apart."""
 
-    def __init__(self, listed, even, sure):
+    def __init__(self, listed, nodes, sure):
         self.due = self.blocked = self.changed = self.pressed = -math.inf
-        self.named = self.listed = listed                # calls per ms, as the list names it and as held true
-        self.even = even                                 # the part of one of equal nodes; None: not listed
-        self.sure, self.served = sure, True              # trust in the listed rate; an ack since the last cut
-        self.rate = self.level = even                    # None: unpaced until the first cut
+        self.named = self.even = self.fair = self.listed = None
+        self.sure = sure                                 # trust in the listed rate
+        self.list_rate(listed, nodes, sure)
+        self.served = True                               # an ack since the last cut
+        self.rate = self.level = self.even               # None: unpaced until the first cut
         self.acks = deque()                              # moments; emptied after a second
         self.took, self.low, self.usual = deque(maxlen=WINDOW), None, USUAL_MS
         self.since, self.run, self.left = 0, 0, 1.0
         self.ride = (None, -math.inf, 0)                 # call that others may join this turn
         self.part, self.part_at = 0.0, None              # usual acked calls per ms, and when last moved
 
+    def list_rate(self, listed, nodes, sure):
+        if listed and listed != self.named:              # calls per ms, as the list names it and as held true
+            self.named = listed
+            self.hold_true(listed, nodes, sure)
+
+    def hold_true(self, listed, nodes, sure):
+        """What this node may count on of a rate that all nodes share: an even part of it among the nodes that
+        are busy there at a time (`even`), among all of them for the fall budget (`fair`)."""
+        busy = nodes * -math.expm1(-listed * BUSY_MS / nodes)
+        self.listed, self.fair, self.sure = listed, listed / nodes, sure
+        self.even = listed / max(1.0, busy)
+
     def ready_at(self):
         """When the next send may go; a little burst tolerance, but never inside a told wait."""
         early = BURST / self.rate if self.rate else 0.0
@@ -209,12 +223,10 @@
             apart = kind < len(self.apart_by_kind) and self.apart_by_kind[kind]
             listed = rate / 1000.0 if self.has_rates and rate > 0 else None
             if sink.key is None:
-                sink.key = Key(listed, listed and listed / self.nodes, self.sure) if apart else dest.key
-                sink.key = sink.key or Key(listed, listed and listed / self.nodes, self.sure)
+                sink.key = dest.key if dest.key and not apart else Key(listed, self.nodes, self.sure)
                 dest.key = dest.key or sink.key
-            elif listed and listed != sink.key.named:
-                sink.key.named = sink.key.listed = listed
-                sink.key.even, sink.key.sure = listed / self.nodes, self.sure
+            else:
+                sink.key.list_rate(listed, self.nodes, self.sure)
             sink.apart, sink.ready = bool(apart), ready
             sink.batch = self.batch_by_kind[kind] if kind < len(self.batch_by_kind) else 1
             sink.fee = self.fees[zone] if apart and zone < len(self.fees) else 0.0
@@ -416,7 +428,7 @@
         since = 0.0 if sink.down else now - sink.cold_since
         present = self.cold_from + (1 - self.cold_from) * since / self.warm_up
         key = sink.key
-        rate = self.cold_part * key.sure * present * (key.part + (key.even or key.part or LEAST_RATE)) / 2
+        rate = self.cold_part * key.sure * present * (key.part + (key.fair or key.part or LEAST_RATE)) / 2
         return self.spread(0.8, 1.2) * (1 if sink.apart else max(1, len(sink.dest.sinks))) / rate
 
     def _allow(self, evt, sink, now):
@@ -438,8 +450,8 @@
             key.left = report.get("x0", 1.0) if limit > 0 else 1.0
             if limit > 0 and key.listed:    # it replaces the listed rate: noise smoothed, a fall at once
                 fresh = key.sure < 1.0 or limit < FELL * key.listed
-                key.listed += (limit - key.listed) * (1.0 if fresh else SMOOTH)
-                key.even, key.sure, key.rate = key.listed / self.nodes, 1.0, min(key.rate, key.listed)
+                key.hold_true(key.listed + (limit - key.listed) * (1.0 if fresh else SMOOTH), self.nodes, 1.0)
+                key.rate = min(key.rate, key.listed)
         if outcome in (CANCELLED, UNSENT):
             return
         sink.heard = now
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -147,7 +147,7 @@
     node, sink = run.inst.node, (run.play(1.0), run.inst.node.sinks[1])[1]
     for moment, limit in ((10.0, 20.0), (20.0, 21.0), (30.0, 3.0)):
         node._learn(sink, "acked", moment, 50.0, {"x0": 0.5, "x1": limit})
-        run.lines.append(f"told {limit}: rate {sink.key.rate * 1000:.2f}, even part {sink.key.even * 1000:.2f}")
+        run.lines.append(f"told {limit}: rate {sink.key.rate * 1000:.2f}, even part {sink.key.even * 1000:.2f}, of all {sink.key.fair * 1000:.2f}")
     run.as_kept("told_limit")
 
 
