--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -16,7 +16,7 @@
                                TIMEOUT, UNREACHED, UNSENT, Decline, Discard, Event, Later, Send, Wait)
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
-GROW = 0.035            # x listed each second: clean growth past the level; slow beside a halving
+GROW = 0.08             # x first rate each second: clean growth past the level; slow beside a halving
 MOST_RATE = 1.5         # x listed: no node needs more than all of it, and the list may be somewhat low
 CUT = 0.5               # page: a refusal, an error run or risen latency halves the rate
 LEVEL_KEPT = 0.9        # x level: what a refusal leaves of the level that clean seconds lead back to
@@ -97,7 +97,7 @@
             self.due = now + 1.0 / self.rate     # nothing was booked while it was unpaced
         # The even part of a listed rate is this node's due: refusals lead back to it, not below, unless the
         # key has served nothing since the last cut, which says that the list is wrong.
-        due = self.even * self.sure if self.even and self.served else LEAST_RATE / 4
+        due = self.fair * self.sure if self.even and self.served else LEAST_RATE / 4
         if refused:
             self.level = max(min(self.level, max(self.rate, due)) * LEVEL_KEPT, due)
         self.rate, self.changed, self.served = max(self.rate * CUT, due * CUT), now, False
@@ -126,7 +126,7 @@
                 seconds = min(10.0, (now - self.changed) // CLEAN_MS)    # a slow key is seldom asked
                 self.rate, self.changed = min(self.level, self.rate / CUT ** seconds), now
         elif now - self.pressed < CLEAN_MS:
-            step = GROW * self.left * (self.listed or LEAST_RATE) / (self.rate * 1000.0)
+            step = GROW * self.left * (self.even or LEAST_RATE) / (self.rate * 1000.0)
             most = MOST_RATE * self.listed if self.listed else math.inf
             self.rate = self.level = max(self.rate, min(self.rate + step, most))
 
