--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -45,6 +45,7 @@
 BUSY_MS = 1000.0        # ms: nodes that have an event for a key within it share its rate; a few queue moments
 FELL = 0.6              # of the limit held true: a told limit below that is a fall, not noise
 SHUT_MS = 2100.0        # ms: a told wait longer than the span that limits are counted in means shut
+REFUSED_RUN = 3         # calls refused in a row, for longer than that: fewer are chance at a full destination
 SCARCE = 0.7            # of the slots: from here no destination may take more than half of those out
 CROWDED = 0.92          # of the holding room: from here the longest queues are declined
 MARGIN_MS = 12.0        # ms before a bound at which the event is answered; two turns of the caller
@@ -482,7 +483,7 @@
         if sink.down:
             return
         if sink.bad > MOSTLY_BAD or sink.run >= ERROR_RUN and outcome != FULL \
-                or sink.run > 1 and outcome == FULL and now - sink.run_since > SHUT_MS \
+                or sink.run > REFUSED_RUN and outcome == FULL and now - sink.run_since > SHUT_MS \
                 or outcome in (UNREACHED, TIMEOUT) \
                 and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
             # The last: a node of little traffic may see one call fail in all of an outage, and counts.
