--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -138,9 +138,11 @@
 class Sink:
     """One endpoint of a destination, and how this node finds it."""
 
-    def __init__(self, ident, zone, dest):
+    def __init__(self, ident, zone, dest, position):
         self.ident, self.zone, self.dest = ident, zone, dest
-        self.order = hashlib.blake2b(f"{dest.number}/{ident}".encode(), digest_size=8).digest()
+        # Each node has a fixed ranking of its own: at one for all, many nodes of little traffic, to each of
+        # which one endpoint is enough, would all take the same and leave the others idle.
+        self.order = hashlib.blake2b(f"{dest.number}/{ident}/{position}".encode(), digest_size=8).digest()
         self.key, self.ready, self.batch, self.fee = None, False, 1, 0.0
         self.out, self.heard, self.bad, self.run = 0, -math.inf, 0.0, 0
         self.down, self.silent, self.probing, self.proved = False, False, False, False
@@ -160,13 +162,13 @@
 
 
 class Dispatcher:
-    def __init__(self, seed, *, streams=(), nodes=1, slots=math.inf, room=math.inf, most_sends=8,
+    def __init__(self, seed, *, streams=(), nodes=1, position=0, slots=math.inf, room=math.inf, most_sends=8,
                  batch_by_kind=(), apart_by_kind=(), carriage_by_zone=(), halving=False, listed_rates="off",
                  quotas=(), over_quota_utility=1.0, may_probe=False, may_advise=False, most_advice_ms=0.0,
                  asks_for_list=False, fall_multiple=1.0, cold_from=0.15, warm_up_ms=20000.0, key_rest_ms=0.0,
                  tick_ms=5.0):
         self.spread = random.Random(seed).uniform
-        self.streams, self.nodes = list(streams), max(1, nodes)
+        self.streams, self.nodes, self.position = list(streams), max(1, nodes), position
         self.slots, self.room, self.most_sends = slots, room * CROWDED, most_sends
         self.batch_by_kind, self.apart_by_kind = list(batch_by_kind), list(apart_by_kind)
         mean = sum(s.utility for s in self.streams) / max(1, len(self.streams))
@@ -219,7 +221,7 @@
             if sink is None:
                 if not ready:
                     continue
-                sink = self.sinks[ident] = Sink(ident, zone, dest)
+                sink = self.sinks[ident] = Sink(ident, zone, dest, self.position)
             named.add(ident)
             apart = kind < len(self.apart_by_kind) and self.apart_by_kind[kind]
             listed = rate / 1000.0 if self.has_rates and rate > 0 else None
--- a/swiftthread/drill/codec.py
+++ b/swiftthread/drill/codec.py
@@ -101,7 +101,7 @@
             group=row.get("Group", "cell"), window_ms=ms(row.get("Window")), in_order=bool(row.get("InTurn")))
             for row in conf.get("Profiles") or ()]
         terms = {
-            "streams": streams, "nodes": conf.get("Balancers"),
+            "streams": streams, "nodes": conf.get("Balancers"), "position": conf.get("Position"),
             "slots": domain.get("CallsOut"), "room": allowed.get("MaxOpen"), "most_sends": allowed.get("TryLimit"),
             "batch_by_kind": domain.get("KindBatch"), "apart_by_kind": domain.get("RoutesApart"),
             "carriage_by_zone": domain.get("Carriage"), "halving": domain.get("LosesWorth") == "by_half",
