A cut books the last slot anew at the halved rate, and the burst tolerance goes by the level

Cause: the slot of a refused call was booked at the old rate, and three tenths of the new, longer interval were taken off it, so that the retry came sooner, not later. At destinations where refused calls use up the limit (at half of it they stay) many nodes' retries kept it there.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -81,7 +81,7 @@
 
     def ready_at(self):
         """When the next send may go; a little burst tolerance, but never inside a told wait."""
-        early = BURST / self.rate if self.rate else 0.0
+        early = BURST / self.level if self.rate else 0.0
         return max(self.due - early, self.blocked)
 
     def book(self, now, cost):
@@ -101,7 +101,8 @@
         due = self.fair * self.sure if self.even and self.served else LEAST_RATE / 4
         if refused:
             self.level = max(min(self.level, max(self.rate, due)) * LEVEL_KEPT, due)
-        self.rate, self.changed, self.served = max(self.rate * CUT, due * CUT), now, False
+        rate, self.rate, self.changed, self.served = self.rate, max(self.rate * CUT, due * CUT), now, False
+        self.due = max(now, self.due) + 1.0 / self.rate - 1.0 / rate     # what was booked is booked anew
 
     def acked(self, now, latency, slow_everywhere):
         self.run, self.served = 0, True
@@ -124,8 +125,7 @@
             return
         if self.rate < self.level:
             if now - self.changed >= CLEAN_MS:
-                seconds = min(10.0, (now - self.changed) // CLEAN_MS)    # a slow key is seldom asked
-                self.rate, self.changed = min(self.level, self.rate / CUT ** seconds), now
+                self.rate, self.changed = min(self.level, self.rate / CUT), now
         elif now - self.pressed < CLEAN_MS:
             step = GROW * self.left * (self.even or LEAST_RATE) / (self.rate * 1000.0)
             most = MOST_RATE * self.listed if self.listed else math.inf
