Idle connections are closed where no further call is likely before they close by themselves

Cause: 200 nodes each kept a connection for the keepalive after one call, endpoints take few connections, and a fifth of the sends got none. A node now closes idle connections to an endpoint where it usually gets less than one call acked in a keepalive and holds nothing for it. Should also hold against many restarts and crowds of new nodes; hurts where the next event comes sooner than the last ones (a handshake).

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -43,6 +43,7 @@
 COLD_SHARE = 1.0        # of this node's part of the fall budget, which counts the limit, not all capacity
 USUAL_SPAN_MS = 10000.0  # ms: span of the smoothed rate of acked calls, this node's usual part of a key
 BUSY_MS = 1000.0        # ms: nodes that have an event for a key within it share its rate; a few queue moments
+REUSED = 1.0            # calls expected while a connection may idle, from which it is kept
 FELL = 0.6              # of the limit held true: a told limit below that is a fall, not noise
 SHUT_MS = 2100.0        # ms: a told wait longer than the span that limits are counted in means shut
 REFUSED_RUN = 3         # calls refused in a row, for longer than that: fewer are chance at a full destination
@@ -106,9 +107,7 @@
 
     def acked(self, now, latency, slow_everywhere):
         self.run, self.served = 0, True
-        if self.part_at is not None:
-            self.part *= math.exp((self.part_at - now) / USUAL_SPAN_MS)
-        self.part, self.part_at = self.part + 1 / USUAL_SPAN_MS, now
+        self.part, self.part_at = self.pace(now) + 1 / USUAL_SPAN_MS, now
         self.acks.append(now)
         while now - self.acks[0] > 1000.0:
             self.acks.popleft()
@@ -131,6 +130,10 @@
             most = MOST_RATE * self.listed if self.listed else math.inf
             self.rate = self.level = max(self.rate, min(self.rate + step, most))
 
+    def pace(self, now):
+        """Calls per ms that this node usually gets acked here."""
+        return self.part * math.exp((self.part_at - now) / USUAL_SPAN_MS) if self.part_at is not None else self.part
+
     def risen(self):
         return self.low is not None and len(self.took) == WINDOW and self.usual > RISEN * self.low
 
@@ -166,7 +169,7 @@
                  batch_by_kind=(), apart_by_kind=(), carriage_by_zone=(), halving=False, listed_rates="off",
                  quotas=(), over_quota_utility=1.0, may_probe=False, may_advise=False, most_advice_ms=0.0,
                  asks_for_list=False, fall_multiple=1.0, cold_from=0.15, warm_up_ms=20000.0, key_rest_ms=0.0,
-                 tick_ms=5.0):
+                 tick_ms=5.0, keepalive_ms=math.inf):
         self.spread = random.Random(seed).uniform
         self.streams, self.nodes, self.position = list(streams), max(1, nodes), position
         self.slots, self.room, self.most_sends = slots, room * CROWDED, most_sends
@@ -185,6 +188,8 @@
         self.dests, self.sinks = {}, {}      # by number, as the list names them; sinks leave when long gone
         self.turns = {}      # subject -> [events in order taken, rest until]; emptied when over and rested
         self.lost = {}       # sinks that are down, in the order they went; emptied by an ack or the list
+        self.keepalive = keepalive_ms
+        self.idle = {}       # sinks whose last call out has ended; emptied each turn
         self.out = self.held = 0
 
     def take(self, now, stream_no, dest_no, left, tenant=0, subject=0):
@@ -286,6 +291,7 @@
         if call.left == 0:
             self.out -= 1
             sink.out -= 1
+            self.idle[sink] = True
         if outcome == FULL and told > 0:     # each event of a call may be told a wait of its own
             self._told(sink.key, now + told + 1.0)
             if told > SHUT_MS and not sink.down:
@@ -316,6 +322,13 @@
             sink.probing, sink.cold_due = True, now + self._cold_pause(sink, now)
         return found
 
+    def closes(self, now):
+        """Sinks whose idle connections to close now. Guards the others against a full connection table, which
+        idle connections of many nodes fill: kept are those that are likely used again before they would
+        close by themselves. Hurts where the next event comes sooner than the last ones did."""
+        idle, self.idle = self.idle, {}
+        return [s for s in idle if not s.out and not s.dest.held and s.key.pace(now) * self.keepalive <= REUSED]
+
     def _wants_probe(self, sink):
         """Only a sink that went silent is probed: elsewhere an event that is tried loses nothing."""
         return (sink.down and sink.silent and sink.ready and not (sink.proved or sink.probing or sink.out)
--- a/swiftthread/drill/hosting.py
+++ b/swiftthread/drill/hosting.py
@@ -78,6 +78,8 @@
             self.answer(evt, self.node.where(evt, now), now, reply)
         for sink in self.node.probes(now):
             reply.probe(self.number, sink.ident)
+        for sink in self.node.closes(now):
+            reply.close_idle(self.number, sink.ident)
         if self.node.wants_list(now):
             reply.listen(self.number)
         at = min(self.asks[0][0] if self.asks else float("inf"), self.node.next_moment(now))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -165,3 +165,11 @@
     def answers(ticket, sink, now):
         return (50.0, "full") if now < 100.0 and ticket > 4 else (50.0, "acked")
     burst(Run(ONE, answers, listed_rates="off"), range(1, 9)).play(9000.0).as_kept("unlisted")
+
+
+def test_connections_are_closed_that_would_idle_out_unused():
+    """Hundreds of nodes kept a connection each after one call, and the endpoint's table was full for the rest."""
+    run = Run(ONE, keepalive_ms=5000.0)
+    for ticket, moment in enumerate((10.0, 12000.0, 12400.0, 12800.0, 13200.0), 1):
+        run.at(moment, run.take, ticket)
+    run.play(20000.0).as_kept("closes")
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -71,6 +71,9 @@
         delay, outcome, *_ = self.answers(None, sink, self.now) or (1000.0, "timeout")
         self.at(self.now + delay, self.inst.node.probed, sink, outcome, self.now + delay, delay)
 
+    def close_idle(self, _node, sink):
+        self.say(f"close idle connections to {sink}")
+
     def listen(self, _node):
         self.say("ask for the list")
 
