The fall budget is kept by destination, among the nodes that can have met the outage

Now cold sends of a destination share one due moment; endpoints beside a lost one that were not just acked get one trial each before they are trusted; the first trial after a wait falls at a random part of the pause; the even part of the budget is among the nodes that are expected to have had an event there since the outage began. A lone error with no ack for a second counts as a lone time-out does.

Should also hold against one endpoint failing after another; hurts where one endpoint alone is out.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -67,6 +67,7 @@
         self.since, self.run, self.left = 0, 0, 1.0
         self.ride = (None, -math.inf, 0)                 # call that others may join this turn
         self.part, self.part_at = 0.0, None              # usual acked calls per ms, and when last moved
+        self.out_since, self.cold_due = -math.inf, -math.inf     # of its last outage; the next cold send
 
     def list_rate(self, listed, nodes, sure):
         if listed and listed != self.named:              # calls per ms, as the list names it and as held true
@@ -75,10 +76,13 @@
 
     def hold_true(self, listed, nodes, sure):
         """What this node may count on of a rate that all nodes share: an even part of it among the nodes that
-        are busy there at a time (`even`), among all of them for the fall budget (`fair`)."""
-        busy = nodes * -math.expm1(-listed * BUSY_MS / nodes)
+        are busy there at a time (`even`), and of all of them, below which refusals never lead (`fair`)."""
         self.listed, self.fair, self.sure = listed, listed / nodes, sure
-        self.even = listed / max(1.0, busy)
+        self.even = self.among(BUSY_MS, nodes)
+
+    def among(self, span, nodes):
+        """The rate by the nodes that can be expected to have an event here within a span, at the limit."""
+        return self.listed / max(1.0, nodes * -math.expm1(-self.listed * span / nodes))
 
     def ready_at(self):
         """When the next send may go; a little burst tolerance, but never inside a told wait."""
@@ -149,7 +153,7 @@
         self.key, self.ready, self.batch, self.fee = None, False, 1, 0.0
         self.out, self.heard, self.bad, self.run = 0, -math.inf, 0.0, 0
         self.down, self.silent, self.probing, self.proved = False, False, False, False
-        self.run_since, self.cold_since, self.cold_due, self.acked_at = 0.0, -math.inf, -math.inf, -math.inf
+        self.run_since, self.cold_since, self.acked_at = 0.0, -math.inf, -math.inf
 
 
 class Destination:
@@ -295,7 +299,7 @@
         if outcome == FULL and told > 0:     # each event of a call may be told a wait of its own
             self._told(sink.key, now + told + 1.0)
             if told > SHUT_MS and not sink.down:
-                self._lose(sink, now)
+                self._lose(sink, now, True)
         if not call.learnt:
             call.learnt = True
             self._learn(sink, outcome, now, latency, report or {})
@@ -317,9 +321,9 @@
         """Sinks to probe now: failing ones with events waiting, at the pace of trials."""
         if not self.may_probe:
             return []
-        found = [s for s in self.lost if self._wants_probe(s) and s.cold_due <= now >= s.key.blocked]
+        found = [s for s in self.lost if self._wants_probe(s) and s.key.cold_due <= now >= s.key.blocked]
         for sink in found:
-            sink.probing, sink.cold_due = True, now + self._cold_pause(sink, now)
+            sink.probing, sink.key.cold_due = True, now + self._cold_pause(sink, now)
         return found
 
     def closes(self, now):
@@ -342,7 +346,7 @@
     def next_moment(self, now):
         moments = [self.listing_at]
         if self.may_probe:
-            moments += [max(s.cold_due, s.key.blocked) for s in self.lost if self._wants_probe(s)]
+            moments += [max(s.key.cold_due, s.key.blocked) for s in self.lost if self._wants_probe(s)]
         return min(m if m > now else math.inf for m in moments)
 
     def _urgency(self, evt, now):
@@ -394,6 +398,8 @@
             if soonest < math.inf:
                 evt.dest.key.pressed = now
             return None, soonest, False
+        tried = min((s.run for s in ready if s.down), default=0)
+        ready = [s for s in ready if not s.down or s.run == tried]
         first = next((s for s in ready if s.out < self._enough(s)), None)
         return first or min(ready, key=lambda s: s.out), now, False
 
@@ -407,14 +413,14 @@
         if sink.down:
             if sink.out or sink.probing or (self.may_probe and sink.silent and not sink.proved):
                 return math.inf
-            return max(now if sink.proved else sink.cold_due, key.ready_at())
+            return max(now if sink.proved or not sink.run else key.cold_due, key.ready_at())
         quiet = max(QUIET_MS, QUIET_CALLS * key.usual)
         if sink.out and now - sink.heard > quiet * (1 if sink.out > 1 else 2):
             # Bookings never learn when calls end: a silent sink would take slot after slot.
             return math.inf
         moment = key.ready_at()
         if now - sink.cold_since < self.warm_up:
-            moment = max(moment, sink.cold_due)
+            moment = max(moment, key.cold_due)
         return moment
 
     def _send(self, evt, sink, joins, now):
@@ -432,20 +438,21 @@
             sink.out += 1
         key.book(now, cost)
         if sink.down or now - sink.cold_since < self.warm_up:
-            sink.cold_due = max(now, sink.cold_due) + cost * self._cold_pause(sink, now)
+            key.cold_due = max(now, key.cold_due) + cost * self._cold_pause(sink, now)
         call.left += 1
         evt.call, evt.sink, evt.sent_at, evt.sends = call, sink, now, evt.sends + 1
         return Send(sink, self._allow(evt, sink, now))
 
     def _cold_pause(self, sink, now):
         """Guards a destination that is out or returns cold: this node's part of the fall budget, for trials
-        and probes as for events. The part lies between the node's usual share and an even one: both add
-        up over the nodes, however many there are. Hurts where the others leave theirs unused."""
+        and probes as for events. The part lies between the node's usual share and an even one among the nodes
+        that can have met the outage: both add up, however many nodes there are. Hurts where others leave
+        theirs unused."""
         since = 0.0 if sink.down else now - sink.cold_since
         present = self.cold_from + (1 - self.cold_from) * since / self.warm_up
         key = sink.key
-        rate = self.cold_part * key.sure * present * (key.part + (key.fair or key.part or LEAST_RATE)) / 2
-        return self.spread(0.8, 1.2) * (1 if sink.apart else max(1, len(sink.dest.sinks))) / rate
+        share = key.among(max(BUSY_MS, now - key.out_since), self.nodes) if key.listed else key.part or LEAST_RATE
+        return self.spread(0.8, 1.2) / (self.cold_part * key.sure * present * (key.part + share) / 2)
 
     def _allow(self, evt, sink, now):
         rest = evt.ends_at - now
@@ -499,14 +506,26 @@
             return
         if sink.bad > MOSTLY_BAD or sink.run >= ERROR_RUN and outcome != FULL \
                 or sink.run > REFUSED_RUN and outcome == FULL and now - sink.run_since > SHUT_MS \
-                or outcome in (UNREACHED, TIMEOUT) \
+                or outcome in (UNREACHED, TIMEOUT, ERROR) \
                 and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
             # The last: a node of little traffic may see one call fail in all of an outage, and counts.
-            self._lose(sink, now)
+            self._lose(sink, now, outcome == FULL)
 
-    def _lose(self, sink, now):
+    def _lose(self, sink, now, shut):
+        """Guards against an outage of the whole destination of which this node sees little: endpoints beside
+        the lost one that were not just acked get one trial each before they are trusted, none when it was
+        shut. Hurts where one endpoint alone is out: the next one is cold to this node for a while."""
+        key = sink.key
+        beside = [s for s in sink.dest.sinks if s.key is key and s is not sink]
+        if not any(s.down or now - s.cold_since < self.warm_up for s in [sink, *beside]):
+            key.out_since = sink.run_since
+        for other in beside:
+            if shut or other.acked_at < now - ALONE_MS:
+                other.down = self.lost[other] = True
+                other.run = max(other.run, int(shut))
         sink.down = self.lost[sink] = True
-        sink.cold_due = now + max(TRY_MS, self._cold_pause(sink, now))
+        pause = self._cold_pause(sink, now)
+        key.cold_due = max(now, key.blocked) + max(TRY_MS, pause * self.spread(0.0, 1.0))
 
     def _told(self, key, until):
         """The page: a told wait blocks the key to its end, and the due moment restarts there."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -173,3 +173,14 @@
     for ticket, moment in enumerate((10.0, 12000.0, 12400.0, 12800.0, 13200.0), 1):
         run.at(moment, run.take, ticket)
     run.play(20000.0).as_kept("closes")
+
+
+def test_a_destination_that_was_shut_is_cold_at_all_its_endpoints():
+    """Each node tried one endpoint as the wait ended, and sent its whole backlog to the other a second later."""
+    def answers(ticket, sink, now):
+        return (30.0, "full", 6000.0 - now) if now < 6000.0 else (100.0, "acked")
+    run = Run([(1, 0, 0, 0, 20.0, True), (2, 0, 0, 0, 20.0, True)], answers, nodes=40, batch_by_kind=[5])
+    for ticket in range(1, 30):
+        run.at(200.0 * ticket, run.take, ticket)
+    run.play(12000.0).as_kept("shut_everywhere")
+    assert len({moment for moment, _ in sent(run) if 6000.0 < moment < 8000.0}) <= 2
