An outage may have begun before this node's first failed call; the usual part decays till then

Cause: each of 100 nodes counted the outage from its own first failed call, so that the budget was divided among those that can have met a second of it, and a single ack of long ago counted as a tenth of a call a second for ever. Now the outage is taken to have begun at the last ack, a warm-up ago at most, and the usual part decays until the first failure.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -452,7 +452,7 @@
         present = self.cold_from + (1 - self.cold_from) * since / self.warm_up
         key = sink.key
         share = key.among(max(BUSY_MS, now - key.out_since), self.nodes) if key.listed else key.part or LEAST_RATE
-        return self.spread(0.8, 1.2) / (self.cold_part * key.sure * present * (key.part + share) / 2)
+        return self.spread(0.8, 1.2) / (self.cold_part * key.sure * present * (key.pace(now) + share) / 2)
 
     def _allow(self, evt, sink, now):
         rest = evt.ends_at - now
@@ -484,7 +484,6 @@
                 sink.down, sink.silent, sink.cold_since = False, False, now
                 self.lost.pop(sink, None)
                 sink.bad = min(sink.bad, MOSTLY_BAD / 2)
-                key.part_at = None      # the outage does not lessen the usual part
             key.acked(now, latency, self._slow_everywhere)
             return
         if outcome == FULL:
@@ -518,7 +517,9 @@
         key = sink.key
         beside = [s for s in sink.dest.sinks if s.key is key and s is not sink]
         if not any(s.down or now - s.cold_since < self.warm_up for s in [sink, *beside]):
-            key.out_since = sink.run_since
+            # It may have begun any time since the last ack, and it does not lessen the usual part.
+            key.out_since = max(now - self.warm_up, *(s.acked_at for s in [sink, *beside]))
+            key.part, key.part_at = key.pace(sink.run_since if sink.run else now), None
         for other in beside:
             if shut or other.acked_at < now - ALONE_MS:
                 other.down = self.lost[other] = True
