A connect refused at once is a full table until two in a row; its idle connections are closed

Now a connect that fails in under half of the time for connects is an outage only after two failures in a row, and for 20 s such an endpoint's connections are closed as soon as they idle. Should also hold against restarts of a receiver; hurts where a crashed receiver refuses at once: one more call a node before trials begin.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -43,6 +43,8 @@
 COLD_SHARE = 1.0        # of this node's part of the fall budget, which counts the limit, not all capacity
 USUAL_SPAN_MS = 10000.0  # ms: span of the smoothed rate of acked calls, this node's usual part of a key
 BUSY_MS = 1000.0        # ms: nodes that have an event for a key within it share its rate; a few queue moments
+AT_ONCE = 0.5           # of the time for a connect: one that fails sooner was refused, not unanswered
+CROWDED_MS = 20000.0    # ms for which a refused connect says that the endpoint's table is short of room
 REUSED = 1.0            # calls expected while a connection may idle, from which it is kept
 FELL = 0.6              # of the limit held true: a told limit below that is a fall, not noise
 SHUT_MS = 2100.0        # ms: a told wait longer than the span that limits are counted in means shut
@@ -153,7 +155,7 @@
         self.key, self.ready, self.batch, self.fee = None, False, 1, 0.0
         self.out, self.heard, self.bad, self.run = 0, -math.inf, 0.0, 0
         self.down, self.silent, self.probing, self.proved = False, False, False, False
-        self.run_since, self.cold_since, self.acked_at = 0.0, -math.inf, -math.inf
+        self.run_since, self.cold_since, self.acked_at, self.crowded_at = 0.0, -math.inf, -math.inf, -math.inf
 
 
 class Destination:
@@ -173,7 +175,7 @@
                  batch_by_kind=(), apart_by_kind=(), carriage_by_zone=(), halving=False, listed_rates="off",
                  quotas=(), over_quota_utility=1.0, may_probe=False, may_advise=False, most_advice_ms=0.0,
                  asks_for_list=False, fall_multiple=1.0, cold_from=0.15, warm_up_ms=20000.0, key_rest_ms=0.0,
-                 tick_ms=5.0, keepalive_ms=math.inf):
+                 tick_ms=5.0, keepalive_ms=math.inf, connect_ms=0.0):
         self.spread = random.Random(seed).uniform
         self.streams, self.nodes, self.position = list(streams), max(1, nodes), position
         self.slots, self.room, self.most_sends = slots, room * CROWDED, most_sends
@@ -192,7 +194,7 @@
         self.dests, self.sinks = {}, {}      # by number, as the list names them; sinks leave when long gone
         self.turns = {}      # subject -> [events in order taken, rest until]; emptied when over and rested
         self.lost = {}       # sinks that are down, in the order they went; emptied by an ack or the list
-        self.keepalive = keepalive_ms
+        self.keepalive, self.connect = keepalive_ms, AT_ONCE * connect_ms
         self.idle = {}       # sinks whose last call out has ended; emptied each turn
         self.out = self.held = 0
 
@@ -331,7 +333,8 @@
         idle connections of many nodes fill: kept are those that are likely used again before they would
         close by themselves. Hurts where the next event comes sooner than the last ones did."""
         idle, self.idle = self.idle, {}
-        return [s for s in idle if not s.out and not s.dest.held and s.key.pace(now) * self.keepalive <= REUSED]
+        return [s for s in idle if not s.out and (now - s.crowded_at < CROWDED_MS or not s.dest.held
+                                                  and s.key.pace(now) * self.keepalive <= REUSED)]
 
     def _wants_probe(self, sink):
         """Only a sink that went silent is probed: elsewhere an event that is tried loses nothing."""
@@ -490,9 +493,11 @@
             if not sink.down:
                 key.cut(now, True)
         else:
-            # A connect that fails while others are answered is a full connection table, not an outage.
-            if outcome == UNREACHED and sink.out and now - sink.acked_at < 1000.0:
-                return
+            # A connect that fails at once, maybe while others are answered, can be a full connection table.
+            if outcome == UNREACHED and latency < self.connect:
+                sink.crowded_at = now
+                if sink.out and now - sink.acked_at < 1000.0:
+                    return
             key.run += 1
             sink.bad += SMOOTH * (1 - sink.bad)
             if key.run >= ERROR_RUN and not sink.down:   # a failed trial tells nothing of the rate
@@ -505,7 +510,8 @@
             return
         if sink.bad > MOSTLY_BAD or sink.run >= ERROR_RUN and outcome != FULL \
                 or sink.run > REFUSED_RUN and outcome == FULL and now - sink.run_since > SHUT_MS \
-                or (outcome in (UNREACHED, TIMEOUT) or sink.run > 1 and outcome == ERROR) \
+                or (outcome == TIMEOUT or outcome == UNREACHED and latency >= self.connect
+                    or key.run > 1 and outcome in (UNREACHED, ERROR)) \
                 and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
             # The last: a node of little traffic may see one call fail in all of an outage, and counts.
             self._lose(sink, now, outcome == FULL)
--- a/swiftthread/drill/codec.py
+++ b/swiftthread/drill/codec.py
@@ -111,6 +111,7 @@
             "asks_for_list": conf.get("Discovery") == "ask", "fall_multiple": rules.get("FallMultiple"),
             "cold_from": rules.get("ColdFrom"), "warm_up_ms": ms(rules.get("WarmUp")),
             "key_rest_ms": ms(rules.get("KeyRest")), "tick_ms": ms(conf.get("Period")),
+            "connect_ms": ms(allowed.get("ConnectTimeout")),
             "keepalive_ms": ms(allowed["Keepalive"]) if allowed.get("Keepalive") else None,
         }
     except (ValueError, AttributeError, TypeError) as fault:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -184,3 +184,13 @@
         run.at(200.0 * ticket, run.take, ticket)
     run.play(12000.0).as_kept("shut_everywhere")
     assert len({moment for moment, _ in sent(run) if 6000.0 < moment < 8000.0}) <= 2
+
+
+def test_a_connect_refused_at_once_is_no_outage_until_it_happens_twice_and_its_connections_close():
+    """A full connection table was taken for an outage by nodes that had no other call out."""
+    def answers(ticket, sink, now):
+        return (30.0, "unreached") if ticket in (1, 3, 4) and now < 5000.0 else (100.0, "acked")
+    run = Run(ONE, answers, keepalive_ms=5000.0, connect_ms=1000.0)
+    for ticket, moment in enumerate((10.0, 2000.0, 4000.0, 4200.0, 9000.0), 1):
+        run.at(moment, run.take, ticket)
+    run.play(20000.0).as_kept("table")
