Errors and refused connects tell of an outage from three in a row

Cause: in a burst two refused connects in a row are common at a full table, and a false outage leaves the busiest destinations idle for its pauses.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -511,7 +511,7 @@
         if sink.bad > MOSTLY_BAD or sink.run >= ERROR_RUN and outcome != FULL \
                 or sink.run > REFUSED_RUN and outcome == FULL and now - sink.run_since > SHUT_MS \
                 or (outcome == TIMEOUT or outcome == UNREACHED and latency >= self.connect
-                    or key.run > 1 and outcome in (UNREACHED, ERROR)) \
+                    or key.run >= ERROR_RUN and outcome in (UNREACHED, ERROR)) \
                 and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
             # The last: a node of little traffic may see one call fail in all of an outage, and counts.
             self._lose(sink, now, outcome == FULL)
