--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -500,8 +500,6 @@
                     return
             key.run += 1
             sink.bad += SMOOTH * (1 - sink.bad)
-            if key.run >= ERROR_RUN and not sink.down:   # a failed trial tells nothing of the rate
-                key.cut(now, False)
         if sink.run == 0:
             sink.run_since = now
         sink.run += 1
@@ -515,6 +513,8 @@
                 and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
             # The last: a node of little traffic may see one call fail in all of an outage, and counts.
             self._lose(sink, now, outcome == FULL)
+        elif key.run >= ERROR_RUN and outcome != FULL:
+            key.cut(now, False)
 
     def _lose(self, sink, now, shut):
         """Guards against an outage of the whole destination of which this node sees little: endpoints beside
