The nodes busy within a third of the SLO time share a rate, not those within a fixed second

The span in which other nodes are counted as busy is now derived from the stream types' SLO times (mean by utility): what an event may wait for its slot. Kept: no constant for one deployment.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -42,7 +42,7 @@
 ALLOW_AGE = 0.6         # of the rest of the max age, for sends that may run again
 COLD_SHARE = 1.0        # of this node's part of the fall budget, which counts the limit, not all capacity
 USUAL_SPAN_MS = 10000.0  # ms: span of the smoothed rate of acked calls, this node's usual part of a key
-BUSY_MS = 1000.0        # ms: nodes that have an event for a key within it share its rate; a few queue moments
+BUSY = 0.33             # of the mean SLO time by utility: nodes with an event in it share a key; what it may wait
 AT_ONCE = 0.5           # of the time for a connect: one that fails sooner was refused, not unanswered
 CROWDED_MS = 20000.0    # ms for which a refused connect says that the endpoint's table is short of room
 REUSED = 1.0            # calls expected while a connection may idle, from which it is kept
@@ -57,8 +57,9 @@
 class Key:
     """One due moment: a destination, or a route where routes are kept apart."""
 
-    def __init__(self, listed, nodes, sure):
+    def __init__(self, listed, nodes, sure, busy):
         self.due = self.blocked = self.changed = self.pressed = -math.inf
+        self.busy = busy                                 # ms in which nodes with an event share the rate
         self.named = self.even = self.fair = self.listed = None
         self.sure = sure                                 # trust in the listed rate
         self.list_rate(listed, nodes, sure)
@@ -80,7 +81,7 @@
         """What this node may count on of a rate that all nodes share: an even part of it among the nodes that
         are busy there at a time (`even`), and of all of them, below which refusals never lead (`fair`)."""
         self.listed, self.fair, self.sure = listed, listed / nodes, sure
-        self.even = self.among(BUSY_MS, nodes)
+        self.even = self.among(self.busy, nodes)
 
     def among(self, span, nodes):
         """The rate by the nodes that can be expected to have an event here within a span, at the limit."""
@@ -180,7 +181,9 @@
         self.streams, self.nodes, self.position = list(streams), max(1, nodes), position
         self.slots, self.room, self.most_sends = slots, room * CROWDED, most_sends
         self.batch_by_kind, self.apart_by_kind = list(batch_by_kind), list(apart_by_kind)
-        mean = sum(s.utility for s in self.streams) / max(1, len(self.streams))
+        utility = sum(s.utility for s in self.streams)
+        mean = utility / max(1, len(self.streams))
+        self.busy = BUSY * sum(s.utility * s.slo_ms for s in self.streams) / utility if utility else 1000.0
         self.fees = [fee * mean for fee in carriage_by_zone]          # utility units, by zone
         self.halving, self.has_rates = halving, listed_rates in ("nominal", "rough")
         self.over_quota = over_quota_utility
@@ -237,7 +240,7 @@
             apart = kind < len(self.apart_by_kind) and self.apart_by_kind[kind]
             listed = rate / 1000.0 if self.has_rates and rate > 0 else None
             if sink.key is None:
-                sink.key = dest.key if dest.key and not apart else Key(listed, self.nodes, self.sure)
+                sink.key = dest.key if dest.key and not apart else Key(listed, self.nodes, self.sure, self.busy)
                 dest.key = dest.key or sink.key
             else:
                 sink.key.list_rate(listed, self.nodes, self.sure)
@@ -454,7 +457,7 @@
         since = 0.0 if sink.down else now - sink.cold_since
         present = self.cold_from + (1 - self.cold_from) * since / self.warm_up
         key = sink.key
-        share = key.among(max(BUSY_MS, now - key.out_since), self.nodes) if key.listed else key.part or LEAST_RATE
+        share = key.among(max(key.busy, now - key.out_since), self.nodes) if key.listed else key.part or LEAST_RATE
         return self.spread(0.8, 1.2) / (self.cold_part * key.sure * present * (key.pace(now) + share) / 2)
 
     def _allow(self, evt, sink, now):
