--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -69,8 +69,9 @@
         self.took, self.low, self.usual = deque(maxlen=WINDOW), None, USUAL_MS
         self.since, self.run, self.left = 0, 0, 1.0
         self.ride = (None, -math.inf, 0)                 # call that others may join this turn
-        self.part, self.part_at = 0.0, None              # usual acked calls per ms, and when last moved
+        self.part, self.part_at = 0.0, 0.0               # usual acked calls per ms, and when last moved
         self.out_since, self.cold_due = -math.inf, -math.inf     # of its last outage; the next cold send
+        self.owed = 0.0                                  # the usual part when that began
 
     def list_rate(self, listed, nodes, sure):
         if listed and listed != self.named:              # calls per ms, as the list names it and as held true
@@ -139,7 +140,7 @@
 
     def pace(self, now):
         """Calls per ms that this node usually gets acked here."""
-        return self.part * math.exp((self.part_at - now) / USUAL_SPAN_MS) if self.part_at is not None else self.part
+        return self.part * math.exp((self.part_at - now) / USUAL_SPAN_MS)
 
     def risen(self):
         return self.low is not None and len(self.took) == WINDOW and self.usual > RISEN * self.low
@@ -457,8 +458,8 @@
         since = 0.0 if sink.down else now - sink.cold_since
         present = self.cold_from + (1 - self.cold_from) * since / self.warm_up
         key = sink.key
-        share = key.among(max(key.busy, now - key.out_since), self.nodes) if key.listed else key.part or LEAST_RATE
-        return self.spread(0.8, 1.2) / (self.cold_part * key.sure * present * (key.pace(now) + share) / 2)
+        share = key.among(max(key.busy, now - key.out_since), self.nodes) if key.listed else key.owed or LEAST_RATE
+        return self.spread(0.8, 1.2) / (self.cold_part * key.sure * present * (key.owed + share) / 2)
 
     def _allow(self, evt, sink, now):
         rest = evt.ends_at - now
@@ -528,9 +529,9 @@
         if not any(s.down or now - s.cold_since < self.warm_up for s in [sink, *beside]):
             # It may have begun any time since the last ack, and it does not lessen the usual part.
             key.out_since = max(now - self.warm_up, *(s.acked_at for s in [sink, *beside]))
-            key.part, key.part_at = key.pace(sink.run_since if sink.run else now), None
+            key.owed = key.pace(sink.run_since if sink.run else now)
         for other in beside:
-            if shut or other.acked_at < now - ALONE_MS:
+            if shut or other.acked_at < now - self.warm_up / 2:
                 other.down = self.lost[other] = True
                 other.run = max(other.run, int(shut))
         sink.down = self.lost[sink] = True
