--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -3,7 +3,7 @@
 A caller builds one `Dispatcher`, hands in events (`take`) and what it learns (`listed`, `list_failed`,
 `withdrawn`, `probed`), has the events that may be asked for put `in_order`, and makes three calls:
 `where` (a send, later, a decline or a discard), `after` (what an outcome means for the event) and `wait`
-(when to ask again after "later"). `probes`, `wants_list` and `next_moment` are asked once a turn. Plain
+(when to ask again after "later"). `probes`, `closes`, `wants_list`, `next_moment`: once a turn. Plain
 values and their meaning: plain.py. The design, what was kept and what was changed: docs/design.md.
 """
 import hashlib
@@ -13,7 +13,8 @@
 from statistics import median
 
 from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, ERROR, FULL, IDEMPOTENT, NON_IDEMPOTENT,
-                               TIMEOUT, UNREACHED, UNSENT, Decline, Discard, Event, Later, Send, Wait)
+                               TIMEOUT, UNREACHED, UNSENT, Call, Decline, Destination, Discard, Event,
+                               Later, Send, Wait)
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
 GROW = 0.08             # x first rate each second: clean growth past the level; slow beside a halving
@@ -33,22 +34,17 @@
 USUAL_MS = 350.0        # ms: latency assumed before the first was seen
 MOSTLY_BAD = 0.6        # share of failed calls, smoothed, from which a sink counts as failing
 SMOOTH = 0.15           # weight of the newest call in that share; about the last dozen calls
-QUIET_MS = 700.0        # ms without an outcome before a sink with calls out is quiet; over a brief stall
-QUIET_CALLS = 4.0       # x usual latency: the same for slow sinks
+QUIET_MS, QUIET_CALLS = 700.0, 4.0   # ms, x usual latency: no outcome for both is quiet; over a brief stall
 TRY_MS = 300.0          # ms: least pause before a failing sink is tried; a few round trips
-ALLOW_MS, ALLOW_CALLS = 1200.0, 8.0  # ms + x usual latency: time-out; p99 of a long-tailed service
-ALLOW_MOST_MS = 6000.0  # ms: longest time-out; a silent sink holds a slot no longer
-ALLOW_WINDOW = 0.6      # of the repeat window at most, so that another send fits inside it
-ALLOW_AGE = 0.6         # of the rest of the max age, for sends that may run again
-COLD_SHARE = 1.0        # of this node's part of the fall budget, which counts the limit, not all capacity
+ALLOW_MS, ALLOW_CALLS, ALLOW_MOST_MS = 1200.0, 8.0, 6000.0  # ms + x usual latency, at most; a long tail's p99
+ALLOW_REST = 0.6        # of the repeat window or the rest of the max age, so that another send fits inside
 USUAL_SPAN_MS = 10000.0  # ms: span of the smoothed rate of acked calls, this node's usual part of a key
-BUSY = 0.33             # of the mean SLO time by utility: nodes with an event in it share a key; what it may wait
+BUSY = 0.33             # of the SLO time (mean by utility): nodes with an event in it share a key's rate
 AT_ONCE = 0.5           # of the time for a connect: one that fails sooner was refused, not unanswered
 CROWDED_MS = 20000.0    # ms for which a refused connect says that the endpoint's table is short of room
 REUSED = 1.0            # calls expected while a connection may idle, from which it is kept
 FELL = 0.6              # of the limit held true: a told limit below that is a fall, not noise
-SHUT_MS = 2100.0        # ms: a told wait longer than the span that limits are counted in means shut
-REFUSED_RUN = 3         # calls refused in a row, for longer than that: fewer are chance at a full destination
+SHUT_MS, REFUSED_RUN = 2100.0, 3  # ms told to wait, or refused in a row for that long: shut; fewer are chance
 SCARCE = 0.7            # of the slots: from here no destination may take more than half of those out
 CROWDED = 0.92          # of the holding room: from here the longest queues are declined
 MARGIN_MS = 12.0        # ms before a bound at which the event is answered; two turns of the caller
@@ -59,24 +55,17 @@
 
     def __init__(self, listed, nodes, sure, busy):
         self.due = self.blocked = self.changed = self.pressed = -math.inf
-        self.busy = busy                                 # ms in which nodes with an event share the rate
         self.named = self.even = self.fair = self.listed = None
-        self.sure = sure                                 # trust in the listed rate
-        self.list_rate(listed, nodes, sure)
-        self.served = True                               # an ack since the last cut
+        self.busy, self.sure = busy, sure                # ms in which nodes share the rate; trust in the list
+        if listed:
+            self.hold_true(listed, nodes, sure)
         self.rate = self.level = self.even               # None: unpaced until the first cut
         self.acks = deque()                              # moments; emptied after a second
         self.took, self.low, self.usual = deque(maxlen=WINDOW), None, USUAL_MS
-        self.since, self.run, self.left = 0, 0, 1.0
+        self.since, self.run, self.left, self.served = 0, 0, 1.0, True   # served: an ack since the last cut
         self.ride = (None, -math.inf, 0)                 # call that others may join this turn
-        self.part, self.part_at = 0.0, 0.0               # usual acked calls per ms, and when last moved
-        self.out_since, self.cold_due = -math.inf, -math.inf     # of its last outage; the next cold send
-        self.owed = 0.0                                  # the usual part when that began
-
-    def list_rate(self, listed, nodes, sure):
-        if listed and listed != self.named:              # calls per ms, as the list names it and as held true
-            self.named = listed
-            self.hold_true(listed, nodes, sure)
+        self.part, self.part_at, self.owed = 0.0, 0.0, 0.0   # usual acked calls per ms; at its last outage
+        self.out_since = self.cold_due = -math.inf       # when that began, and the next cold send
 
     def hold_true(self, listed, nodes, sure):
         """What this node may count on of a rate that all nodes share: an even part of it among the nodes that
@@ -90,8 +79,7 @@
 
     def ready_at(self):
         """When the next send may go; a little burst tolerance, but never inside a told wait."""
-        early = BURST / self.level if self.rate else 0.0
-        return max(self.due - early, self.blocked)
+        return max(self.due - (BURST / self.level if self.rate else 0.0), self.blocked)
 
     def book(self, now, cost):
         if self.rate:
@@ -102,11 +90,10 @@
         if now - self.changed < CLEAN_MS:
             return
         if self.rate is None:
-            served = sum(1 for at in self.acks if now - at <= 1000.0) / 1000.0
+            served = sum(now - at <= 1000.0 for at in self.acks) / 1000.0
             self.rate = self.level = max(LEAST_RATE / CUT, served)
             self.due = now + 1.0 / self.rate     # nothing was booked while it was unpaced
-        # The even part of a listed rate is this node's due: refusals lead back to it, not below, unless the
-        # key has served nothing since the last cut, which says that the list is wrong.
+        # Refusals lead to the even part, not below, unless nothing was served since: then the list is wrong.
         due = self.fair * self.sure if self.even and self.served else LEAST_RATE / 4
         if refused:
             self.level = max(min(self.level, max(self.rate, due)) * LEVEL_KEPT, due)
@@ -128,14 +115,12 @@
             # Guards against a rise seen everywhere at once: that is not this destination's overload.
             if self.risen() and not slow_everywhere():
                 self.cut(now, False)
-        if self.rate is None:
-            return
-        if self.rate < self.level:
+        if self.rate is not None and self.rate < self.level:
             if now - self.changed >= CLEAN_MS:
                 self.rate, self.changed = min(self.level, self.rate / CUT), now
-        elif now - self.pressed < CLEAN_MS:
+        elif self.rate is not None and now - self.pressed < CLEAN_MS:
             step = GROW * self.left * (self.even or LEAST_RATE) / (self.rate * 1000.0)
-            most = MOST_RATE * self.listed if self.listed else math.inf
+            most = MOST_RATE * (self.listed or math.inf)
             self.rate = self.level = max(self.rate, min(self.rate + step, most))
 
     def pace(self, now):
@@ -143,7 +128,7 @@
         return self.part * math.exp((self.part_at - now) / USUAL_SPAN_MS)
 
     def risen(self):
-        return self.low is not None and len(self.took) == WINDOW and self.usual > RISEN * self.low
+        return self.low is not None and self.usual > RISEN * self.low
 
 
 class Sink:
@@ -151,8 +136,7 @@
 
     def __init__(self, ident, zone, dest, position):
         self.ident, self.zone, self.dest = ident, zone, dest
-        # Each node has a fixed ranking of its own: at one for all, many nodes of little traffic, to each of
-        # which one endpoint is enough, would all take the same and leave the others idle.
+        # Each node ranks for itself: by one ranking many nodes of little traffic would all take the same.
         self.order = hashlib.blake2b(f"{dest.number}/{ident}/{position}".encode(), digest_size=8).digest()
         self.key, self.ready, self.batch, self.fee = None, False, 1, 0.0
         self.out, self.heard, self.bad, self.run = 0, -math.inf, 0.0, 0
@@ -160,18 +144,6 @@
         self.run_since, self.cold_since, self.acked_at, self.crowded_at = 0.0, -math.inf, -math.inf, -math.inf
 
 
-class Destination:
-    def __init__(self, number):
-        self.number, self.sinks, self.key, self.held = number, [], None, 0
-
-
-class Call:
-    """One call out, with the events that travel in it; it ends with the last of their outcomes."""
-
-    def __init__(self, sink):
-        self.sink, self.left, self.learnt = sink, 0, False
-
-
 class Dispatcher:
     def __init__(self, seed, *, streams=(), nodes=1, position=0, slots=math.inf, room=math.inf, most_sends=8,
                  batch_by_kind=(), apart_by_kind=(), carriage_by_zone=(), halving=False, listed_rates="off",
@@ -192,9 +164,8 @@
         self.may_probe, self.most_advice = may_probe, most_advice_ms if may_advise else 0.0
         self.listing_at = 0.0 if asks_for_list else math.inf
         self.sure = ROUGH_SURE if listed_rates == "rough" else 1.0
-        self.cold_part = COLD_SHARE * fall_multiple
-        self.cold_from, self.warm_up, self.key_rest = cold_from, max(1.0, warm_up_ms), key_rest_ms
-        self.margin = max(MARGIN_MS, 2 * tick_ms)
+        self.multiple, self.cold_from, self.warm_up = fall_multiple, cold_from, max(1.0, warm_up_ms)
+        self.key_rest, self.margin = key_rest_ms, max(MARGIN_MS, 2 * tick_ms)
         self.dests, self.sinks = {}, {}      # by number, as the list names them; sinks leave when long gone
         self.turns = {}      # subject -> [events in order taken, rest until]; emptied when over and rested
         self.lost = {}       # sinks that are down, in the order they went; emptied by an ack or the list
@@ -203,15 +174,10 @@
         self.out = self.held = 0
 
     def take(self, now, stream_no, dest_no, left, tenant=0, subject=0):
-        evt = Event()
-        evt.stream, evt.dest = self.streams[stream_no], self.dests.setdefault(dest_no, Destination(dest_no))
-        evt.subject = subject if evt.stream.in_order else 0
-        evt.ends_at = now + left
-        evt.slo_at = evt.ends_at - evt.stream.max_age_ms + evt.stream.slo_ms
-        evt.weight, evt.over, evt.sends = self._weight(evt, tenant, now), False, 0
-        evt.sink = evt.call = evt.sent_at = evt.maybe_at = evt.maybe_zone = None
-        evt.ask_at, evt.by_outcome = now, False
-        evt.dest.held += 1
+        stream, dest = self.streams[stream_no], self.dests.setdefault(dest_no, Destination(dest_no))
+        weight = self._weight(stream, tenant, now)
+        evt = Event(stream, dest, subject if stream.in_order else 0, now, left, weight)
+        dest.held += 1
         self.held += 1
         if evt.subject:
             for old in [s for s, (line, rest) in self.turns.items() if not line and rest <= now]:
@@ -219,32 +185,32 @@
             self.turns.setdefault(evt.subject, [deque(), -math.inf])[0].append(evt)
         return evt
 
-    def _weight(self, evt, tenant, now):
-        if tenant >= len(self.quota) or not self.quota[tenant][0]:
-            return evt.stream.utility
-        interval, due = self.quota[tenant]
-        if due > now + 2000.0:       # over its share by two seconds of it: worth little, whatever is done
-            return evt.stream.utility * self.over_quota
-        self.quota[tenant][1] = max(now, due) + interval
-        return evt.stream.utility
+    def _weight(self, stream, tenant, now):
+        share = self.quota[tenant] if tenant < len(self.quota) else [0.0, 0.0]
+        if share[1] > now + 2000.0:       # over its share by two seconds of it: worth little
+            return stream.utility * self.over_quota
+        share[1] = max(now, share[1]) + share[0] if share[0] else 0.0
+        return stream.utility
 
     def listed(self, entries, whole, now):
         named = set()
         for ident, dest_no, zone, kind, rate, ready in entries:
             dest = self.dests.setdefault(dest_no, Destination(dest_no))
-            sink = self.sinks.get(ident)
-            if sink is None:
-                if not ready:
-                    continue
-                sink = self.sinks[ident] = Sink(ident, zone, dest, self.position)
+            if ident not in self.sinks and not ready:
+                continue
+            if ident not in self.sinks:
+                self.sinks[ident] = Sink(ident, zone, dest, self.position)
+            sink = self.sinks[ident]
             named.add(ident)
             apart = kind < len(self.apart_by_kind) and self.apart_by_kind[kind]
             listed = rate / 1000.0 if self.has_rates and rate > 0 else None
             if sink.key is None:
-                sink.key = dest.key if dest.key and not apart else Key(listed, self.nodes, self.sure, self.busy)
+                fresh = apart or not dest.key
+                sink.key = Key(listed, self.nodes, self.sure, self.busy) if fresh else dest.key
                 dest.key = dest.key or sink.key
-            else:
-                sink.key.list_rate(listed, self.nodes, self.sure)
+            elif listed and listed != sink.key.named:
+                sink.key.hold_true(listed, self.nodes, self.sure)
+            sink.key.named = listed or sink.key.named    # as the list names it, not as reports correct it
             sink.apart, sink.ready = bool(apart), ready
             sink.batch = self.batch_by_kind[kind] if kind < len(self.batch_by_kind) else 1
             sink.fee = self.fees[zone] if apart and zone < len(self.fees) else 0.0
@@ -277,9 +243,7 @@
 
     def where(self, evt, now):
         """Send, Later, Decline or Discard."""
-        if self._spent(evt, now):
-            return self._give_up(evt, now)
-        if self.held > self.room and self._longest(evt.dest) and self._harmless(evt):
+        if self._spent(evt, now) or self.held > self.room and self._longest(evt.dest) and self._harmless(evt):
             return self._give_up(evt, now)
         evt.ask_at, evt.by_outcome = self._last_moment(evt, now), False
         if evt.subject:
@@ -296,7 +260,7 @@
 
     def after(self, evt, outcome, now, latency, told=0.0, over=False, report=None):
         """What an outcome means for its event: None when it is over, else Later, Decline or Discard."""
-        call, evt.call, sink, evt.sink = evt.call, None, evt.sink, None
+        call, sink, evt.call, evt.sink = evt.call, evt.sink, None, None
         call.left -= 1
         if call.left == 0:
             self.out -= 1
@@ -325,8 +289,6 @@
 
     def probes(self, now):
         """Sinks to probe now: failing ones with events waiting, at the pace of trials."""
-        if not self.may_probe:
-            return []
         found = [s for s in self.lost if self._wants_probe(s) and s.key.cold_due <= now >= s.key.blocked]
         for sink in found:
             sink.probing, sink.key.cold_due = True, now + self._cold_pause(sink, now)
@@ -341,20 +303,18 @@
                                                   and s.key.pace(now) * self.keepalive <= REUSED)]
 
     def _wants_probe(self, sink):
-        """Only a sink that went silent is probed: elsewhere an event that is tried loses nothing."""
-        return (sink.down and sink.silent and sink.ready and not (sink.proved or sink.probing or sink.out)
-                and sink.dest.held > 0)
+        # Only a sink that went silent: elsewhere an event that is tried loses nothing.
+        return (self.may_probe and sink.down and sink.silent and sink.ready and sink.dest.held > 0
+                and not (sink.proved or sink.probing or sink.out))
 
     def probed(self, ident, outcome, now, latency, report=None):
         sink = self.sinks.get(ident)
-        if sink is not None and sink.probing:
-            sink.probing, sink.proved = False, outcome == ACKED
+        if sink is not None:
+            sink.probing, sink.proved = False, sink.probing and outcome == ACKED
 
     def next_moment(self, now):
-        moments = [self.listing_at]
-        if self.may_probe:
-            moments += [max(s.key.cold_due, s.key.blocked) for s in self.lost if self._wants_probe(s)]
-        return min(m if m > now else math.inf for m in moments)
+        trials = [max(s.key.cold_due, s.key.blocked) for s in self.lost if self._wants_probe(s)]
+        return min(m if m > now else math.inf for m in [self.listing_at, *trials])
 
     def _urgency(self, evt, now):
         """The utility that a further second would cost, once late; less while the SLO time is far."""
@@ -366,12 +326,12 @@
         stream, late = evt.stream, max(0.0, at - evt.slo_at)
         if self.halving:
             return evt.weight * max(stream.late_utility, 0.5 ** (late / max(1.0, stream.slo_ms)))
-        rest = max(1.0, stream.max_age_ms - stream.slo_ms)
-        return evt.weight * (1 - (1 - stream.late_utility) * min(1.0, late / rest))
+        part = min(1.0, late / max(1.0, stream.max_age_ms - stream.slo_ms))
+        return evt.weight * (1 - (1 - stream.late_utility) * part)
 
     def _pick(self, evt, now):
         """(sink, moment, joins a call): the sink to send to now, or None and when there may be one."""
-        soonest, rows = math.inf, []
+        rows = []
         for sink in evt.dest.sinks:
             if evt.maybe_at is not None and evt.stream.effect == DEDUPLICATED \
                     and evt.stream.group != "all" and sink.zone != evt.maybe_zone:
@@ -379,9 +339,7 @@
             call, at, left = sink.key.ride
             if at == now and left > 0 and call.sink is sink:
                 return sink, now, True
-            moment = self._moment(sink, now)
-            rows.append((sink, moment))
-            soonest = min(soonest, moment)
+            rows.append((sink, self._moment(sink, now)))
         if not evt.dest.sinks:
             return None, now + 200.0, False
         busy = sum(sink.out for sink in evt.dest.sinks)
@@ -400,19 +358,16 @@
                     best[0].key.pressed = now
                 return None, best[1], False
             return best[0], now, False
-        ready = [s for s, moment in rows if moment <= now]
+        ready, soonest = [s for s, moment in rows if moment <= now], min(moment for _, moment in rows)
         if not ready:
             if soonest < math.inf:
                 evt.dest.key.pressed = now
             return None, soonest, False
         tried = min((s.run for s in ready if s.down), default=0)
         ready = [s for s in ready if not s.down or s.run == tried]
-        first = next((s for s in ready if s.out < self._enough(s)), None)
-        return first or min(ready, key=lambda s: s.out), now, False
-
-    def _enough(self, sink):
-        """Calls out at which the first in rank has enough: its part of what the key keeps busy."""
-        return max(1.0, (sink.key.rate or 0.004) * sink.key.usual / max(1, len(sink.dest.sinks)))
+        # The first in rank has enough with its part of the calls that the key keeps busy.
+        enough = max(1.0, (evt.dest.key.rate or 0.004) * evt.dest.key.usual / len(evt.dest.sinks))
+        return next((s for s in ready if s.out < enough), None) or min(ready, key=lambda s: s.out), now, False
 
     def _moment(self, sink, now):
         """When this sink may get a call: inf means after some outcome."""
@@ -425,17 +380,13 @@
         if sink.out and now - sink.heard > quiet * (1 if sink.out > 1 else 2):
             # Bookings never learn when calls end: a silent sink would take slot after slot.
             return math.inf
-        moment = key.ready_at()
-        if now - sink.cold_since < self.warm_up:
-            moment = max(moment, key.cold_due)
-        return moment
+        return max(key.ready_at(), key.cold_due if now - sink.cold_since < self.warm_up else now)
 
     def _send(self, evt, sink, joins, now):
         key = sink.key
         if joins:
-            call, at, left = key.ride
-            key.ride = (call, at, left - 1)
-            cost = RIDER
+            call, cost = key.ride[0], RIDER
+            key.ride = (call, now, key.ride[2] - 1)
         else:
             call, cost = Call(sink), 1.0
             key.ride = (call, now, 0 if sink.down else sink.batch - 1)
@@ -451,15 +402,15 @@
         return Send(sink, self._allow(evt, sink, now))
 
     def _cold_pause(self, sink, now):
-        """Guards a destination that is out or returns cold: this node's part of the fall budget, for trials
-        and probes as for events. The part lies between the node's usual share and an even one among the nodes
-        that can have met the outage: both add up, however many nodes there are. Hurts where others leave
-        theirs unused."""
-        since = 0.0 if sink.down else now - sink.cold_since
+        """Guards a destination that is out or returns cold: this node's part of the fall budget, for trials,
+        probes and events: the mean of its usual share and an even one among the nodes that can have met the
+        outage. Both add up, however many nodes there are. Hurts where others leave theirs unused."""
+        key, since = sink.key, 0.0 if sink.down else now - sink.cold_since
         present = self.cold_from + (1 - self.cold_from) * since / self.warm_up
-        key = sink.key
-        share = key.among(max(key.busy, now - key.out_since), self.nodes) if key.listed else key.owed or LEAST_RATE
-        return self.spread(0.8, 1.2) / (self.cold_part * key.sure * present * (key.owed + share) / 2)
+        share = key.owed or LEAST_RATE
+        if key.listed:
+            share = key.among(max(key.busy, now - key.out_since), self.nodes)
+        return self.spread(0.8, 1.2) / (self.multiple * key.sure * present * (key.owed + share) / 2)
 
     def _allow(self, evt, sink, now):
         rest = evt.ends_at - now
@@ -467,11 +418,9 @@
             return max(1.0, rest)     # a time-out would only end it: nothing may follow
         cold = 2.0 if now - sink.cold_since < self.warm_up else 1.0
         allow = min(cold * (ALLOW_MS + ALLOW_CALLS * sink.key.usual), ALLOW_MOST_MS)
-        if evt.stream.effect == DEDUPLICATED:
-            allow = min(allow, max(1.0, ALLOW_WINDOW * evt.stream.window_ms))
-        else:
-            allow = min(allow, max(ALLOW_MS, ALLOW_AGE * rest))
-        return max(1.0, min(allow, rest))
+        most = ALLOW_REST * evt.stream.window_ms if evt.stream.effect == DEDUPLICATED \
+            else max(ALLOW_MS, ALLOW_REST * rest)
+        return max(1.0, min(allow, most, rest))
 
     def _learn(self, sink, outcome, now, latency, report):
         key = sink.key
@@ -481,7 +430,7 @@
             if limit > 0 and key.listed:    # it replaces the listed rate: noise smoothed, a fall at once
                 fresh = key.sure < 1.0 or limit < FELL * key.listed
                 key.hold_true(key.listed + (limit - key.listed) * (1.0 if fresh else SMOOTH), self.nodes, 1.0)
-                key.rate = min(key.rate, key.listed)
+                key.rate = min(key.rate or math.inf, key.listed)
         if outcome in (CANCELLED, UNSENT):
             return
         sink.heard = now
@@ -502,11 +451,8 @@
                 sink.crowded_at = now
                 if sink.out and now - sink.acked_at < 1000.0:
                     return
-            key.run += 1
-            sink.bad += SMOOTH * (1 - sink.bad)
-        if sink.run == 0:
-            sink.run_since = now
-        sink.run += 1
+            key.run, sink.bad = key.run + 1, sink.bad + SMOOTH * (1 - sink.bad)
+        sink.run, sink.run_since = sink.run + 1, sink.run_since if sink.run else now
         sink.silent, sink.proved = outcome == TIMEOUT, False
         if sink.down:
             return
@@ -535,8 +481,8 @@
                 other.down = self.lost[other] = True
                 other.run = max(other.run, int(shut))
         sink.down = self.lost[sink] = True
-        pause = self._cold_pause(sink, now)
-        key.cold_due = max(now, key.blocked) + max(TRY_MS, pause * self.spread(0.0, 1.0))
+        pause = self._cold_pause(sink, now) * self.spread(0.0, 1.0)
+        key.cold_due = max(now, key.blocked) + max(TRY_MS, pause)
 
     def _told(self, key, until):
         """The page: a told wait blocks the key to its end, and the due moment restarts there."""
@@ -545,36 +491,28 @@
             key.due = max(key.due, until + self.spread(0.0, 1.0) / (key.rate or 0.004))
 
     def _slow_everywhere(self):
-        keys = {id(s.key): s.key for s in self.sinks.values()}.values()
-        known = [key for key in keys if key.low is not None]
+        known = [key for key in {s.key for s in self.sinks.values()} if key.low is not None]
         return len(known) > 2 and sum(key.risen() for key in known) * 2 > len(known)
 
     def _longest(self, dest):
-        waiting = sum(1 for d in self.dests.values() if d.held)
-        return dest.held * waiting > self.held
+        return dest.held * sum(1 for d in self.dests.values() if d.held) > self.held
 
     def _last_moment(self, evt, now):
-        """The moment at which a held event must be answered."""
         last = evt.ends_at - self.margin
         if evt.maybe_at is not None and evt.stream.effect == DEDUPLICATED:
             last = min(last, evt.maybe_at + evt.stream.window_ms - self.margin)
         return last
 
     def _spent(self, evt, now):
-        """True when nothing more may be sent for the event."""
-        if now >= self._last_moment(evt, now) or evt.sends >= self.most_sends:
-            return True
-        return evt.maybe_at is not None and evt.stream.effect == NON_IDEMPOTENT
+        spent = now >= self._last_moment(evt, now) or evt.sends >= self.most_sends
+        return spent or evt.maybe_at is not None and evt.stream.effect == NON_IDEMPOTENT
 
     def _harmless(self, evt):
-        """True when a decline may be said: the client can hand the event in again."""
-        stream = evt.stream
-        return (evt.maybe_at is None or stream.effect == IDEMPOTENT
-                or (stream.effect == DEDUPLICATED and stream.group == "all"))
+        anywhere = evt.stream.effect == DEDUPLICATED and evt.stream.group == "all"
+        return evt.maybe_at is None or evt.stream.effect == IDEMPOTENT or anywhere
 
     def _give_up(self, evt, now):
-        harmless = self._harmless(evt)
-        key = evt.dest.key
+        harmless, key = self._harmless(evt), evt.dest.key
         self._end(evt)
         if not harmless:
             return Discard()
--- a/swiftthread/plain.py
+++ b/swiftthread/plain.py
@@ -56,3 +56,24 @@
     """An event in hand. The ticket is the door's; all else is kept by the decisions."""
     __slots__ = ("ticket", "stream", "dest", "subject", "weight", "slo_at", "ends_at", "ask_at", "by_outcome",
                  "sends", "sink", "call", "sent_at", "maybe_at", "maybe_zone", "over")
+
+    def __init__(self, stream, dest, subject, now, left, weight):
+        self.stream, self.dest, self.subject, self.weight = stream, dest, subject, weight
+        self.ends_at = now + left
+        self.slo_at = self.ends_at - stream.max_age_ms + stream.slo_ms
+        self.ask_at, self.by_outcome, self.sends, self.over = now, False, 0, False
+        self.sink = self.call = self.sent_at = self.maybe_at = self.maybe_zone = None
+
+
+class Destination:
+    """A destination, its endpoints in this node's order, and how many events are held for it."""
+
+    def __init__(self, number):
+        self.number, self.sinks, self.key, self.held = number, [], None, 0
+
+
+class Call:
+    """One call out, with the events that travel in it; it ends with the last of their outcomes."""
+
+    def __init__(self, sink):
+        self.sink, self.left, self.learnt = sink, 0, False
