Two refusals in a row over more than 2 s mean shut again

Now that cold sends are paced by the nodes that can have met the outage, taking an overloaded destination for a shut one costs little. Hurts where a destination over its limit refuses this node twice by chance.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -194,3 +194,14 @@
     for ticket, moment in enumerate((10.0, 2000.0, 4000.0, 4200.0, 9000.0), 1):
         run.at(moment, run.take, ticket)
     run.play(20000.0).as_kept("table")
+
+
+def test_two_refusals_over_more_than_two_seconds_mean_shut():
+    """Nodes that met a shut destination with two refused calls each went on at their rate and pushed it over."""
+    def answers(ticket, sink, now):
+        return (50.0, "full", 1386.0) if now < 10000.0 else (100.0, "acked")
+    run = Run(ONE, answers, nodes=198)
+    for ticket, moment in enumerate((1000.0, 1100.0, 9000.0), 1):
+        run.at(moment, run.take, ticket)
+    run.play(14000.0).as_kept("shut_by_refusals")
+    assert not [moment for moment, _ in sent(run) if 6000.0 < moment < 11000.0]
