A stream type goes past an endpoint that failed it for five seconds

Should also hold against an endpoint that errs now and then; hurts where failures are chance and the other endpoints have less room. Kept for the symptom; the span is looked at next. A test counts the calls for an event at two sizes of the list.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -13,7 +13,7 @@
 from statistics import median
 
 from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, ERROR, FULL, IDEMPOTENT, NON_IDEMPOTENT,
-                               TIMEOUT, UNREACHED, UNSENT, Call, Decline, Destination, Discard, Event,
+                               RESET, TIMEOUT, UNREACHED, UNSENT, Call, Decline, Destination, Discard, Event,
                                Later, Send, Wait)
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
@@ -29,8 +29,7 @@
 RIDER = 0.05            # of an interval: what one more event in a call costs; it is work, not a call
 ALONE_MS = 1000.0       # ms without an ack after which one unanswered or unreached call tells of an outage
 ERROR_RUN = 3           # calls failing in a row, none between: an error run; two can be chance
-WINDOW = 24             # latencies for a median; fewer make chance look like a rise at a cv of 1.4
-RISEN = 2.0             # page: latency has risen when the median is over this many times its low
+WINDOW, RISEN = 24, 2.0  # latencies for a median, at a cv of 1.4; page: risen is over this many times its low
 USUAL_MS = 350.0        # ms: latency assumed before the first was seen
 MOSTLY_BAD = 0.6        # share of failed calls, smoothed, from which a sink counts as failing
 SMOOTH = 0.15           # weight of the newest call in that share; about the last dozen calls
@@ -45,6 +44,7 @@
 REUSED = 1.0            # calls expected while a connection may idle, from which it is kept
 FELL = 0.6              # of the limit held true: a told limit below that is a fall, not noise
 SHUT_MS, REFUSED_RUN = 2100.0, 1  # ms told to wait, or refused in a row for that long: shut; fewer are chance
+SHUN_MS = 5000.0        # ms for which a stream type goes past an endpoint that failed it; some SLO times
 SCARCE = 0.7            # of the slots: from here no destination may take more than half of those out
 CROWDED = 0.92          # of the holding room: from here the longest queues are declined
 MARGIN_MS = 12.0        # ms before a bound at which the event is answered; two turns of the caller
@@ -68,8 +68,7 @@
         self.out_since = self.cold_due = -math.inf       # when that began, and the next cold send
 
     def hold_true(self, listed, nodes, sure):
-        """What this node may count on of a rate that all nodes share: an even part of it among the nodes that
-        are busy there at a time (`even`), and of all of them, below which refusals never lead (`fair`)."""
+        """Calls per ms, a node's part among those busy there at a time (`even`), among all (`fair`)."""
         self.listed, self.fair, self.sure = listed, listed / nodes, sure
         self.even = self.among(self.busy, nodes)
 
@@ -78,7 +77,6 @@
         return self.listed / max(1.0, nodes * -math.expm1(-self.listed * span / nodes))
 
     def ready_at(self):
-        """When the next send may go; a little burst tolerance, but never inside a told wait."""
         return max(self.due - (BURST / self.level if self.rate else 0.0), self.blocked)
 
     def book(self, now, cost):
@@ -108,9 +106,8 @@
             self.acks.popleft()
         self.took.append(latency)
         self.usual = median(self.took)
-        self.since += 1
-        if self.since >= WINDOW // 2 and len(self.took) == WINDOW:
-            self.since = 0
+        self.since = (self.since + 1) % (WINDOW // 2)
+        if self.since == 0 and len(self.took) == WINDOW:
             self.low = min(self.usual, self.low * 1.03 if self.low else self.usual)
             # Guards against a rise seen everywhere at once: that is not this destination's overload.
             if self.risen() and not slow_everywhere():
@@ -142,6 +139,7 @@
         self.out, self.heard, self.bad, self.run = 0, -math.inf, 0.0, 0
         self.down, self.silent, self.probing, self.proved = False, False, False, False
         self.run_since, self.cold_since, self.acked_at, self.crowded_at = 0.0, -math.inf, -math.inf, -math.inf
+        self.shunned = {}    # stream type -> until when; one entry a stream type, emptied by an ack
 
 
 class Dispatcher:
@@ -270,6 +268,10 @@
             self._told(sink.key, now + told + 1.0)
             if told > SHUT_MS and not sink.down:
                 self._lose(sink, now, True)
+        if outcome in (ERROR, TIMEOUT, RESET):
+            sink.shunned[evt.stream] = now + SHUN_MS
+        elif outcome == ACKED:
+            sink.shunned.pop(evt.stream, None)
         if not call.learnt:
             call.learnt = True
             self._learn(sink, outcome, now, latency, report or {})
@@ -340,6 +342,9 @@
             if at == now and left > 0 and call.sink is sink:
                 return sink, now, True
             rows.append((sink, self._moment(sink, now)))
+        # Guards a stream type that one endpoint fails while it takes others: endpoints that did not are asked
+        # first. Hurts where its failures are chance and the others have less room.
+        rows = [row for row in rows if row[0].shunned.get(evt.stream, 0.0) <= now] or rows
         if not evt.dest.sinks:
             return None, now + 200.0, False
         busy = sum(sink.out for sink in evt.dest.sinks)
@@ -391,8 +396,7 @@
             call, cost = Call(sink), 1.0
             key.ride = (call, now, 0 if sink.down else sink.batch - 1)
             self.out += 1
-            if not sink.out:
-                sink.heard = now
+            sink.heard = sink.heard if sink.out else now
             sink.out += 1
         key.book(now, cost)
         if sink.down or now - sink.cold_since < self.warm_up:
@@ -442,10 +446,9 @@
                 sink.bad = min(sink.bad, MOSTLY_BAD / 2)
             key.acked(now, latency, self._slow_everywhere)
             return
-        if outcome == FULL:
-            if not sink.down:
-                key.cut(now, True)
-        else:
+        if outcome == FULL and not sink.down:
+            key.cut(now, True)
+        elif outcome != FULL:
             # A connect that fails at once, maybe while others are answered, can be a full connection table.
             if outcome == UNREACHED and latency < self.connect:
                 sink.crowded_at = now
@@ -468,8 +471,7 @@
 
     def _lose(self, sink, now, shut):
         """Guards against an outage of the whole destination of which this node sees little: endpoints beside
-        the lost one that were not just acked get one trial each before they are trusted, none when it was
-        shut. Hurts where one endpoint alone is out: the next one is cold to this node for a while."""
+        it that long acked nothing get one trial, none when shut. Hurts where one endpoint alone is out."""
         key = sink.key
         beside = [s for s in sink.dest.sinks if s.key is key and s is not sink]
         if not any(s.down or now - s.cold_since < self.warm_up for s in [sink, *beside]):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,4 +1,6 @@
 """The decisions, one short trace for each failure found and each rule."""
+import sys
+
 import pytest
 
 from trace import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Run
@@ -205,3 +207,24 @@
         run.at(moment, run.take, ticket)
     run.play(14000.0).as_kept("shut_by_refusals")
     assert not [moment for moment, _ in sent(run) if 6000.0 < moment < 11000.0]
+
+
+def test_a_stream_type_that_one_endpoint_fails_goes_to_the_next_and_the_others_stay():
+    """One endpoint failed nine tenths of one stream type and took the other as usual: it never looked down."""
+    def answers(ticket, sink, now):
+        return (50.0, "error") if sink == 1 and ticket % 2 else (100.0, "acked")
+    run = Run(TWO, answers, streams=[IDEMPOTENT, IDEMPOTENT._replace(slo_ms=4000.0)])
+    for ticket in range(1, 17):
+        run.at(600.0 * ticket, run.take, ticket, 0, ticket % 2)
+    run.play(20000.0).as_kept("one_stream_type")
+
+
+def test_the_work_for_an_event_does_not_grow_with_the_fleet():
+    def calls(size):
+        run, seen = Run([(n, n, 0, 0, 4.0, True) for n in range(size)], nodes=size).play(5.0), []
+        burst(run, (1, 2))
+        sys.setprofile(lambda frame, event, arg: seen.append(event) if event == "call" else None)
+        run.play(3000.0)
+        sys.setprofile(None)
+        return len(seen)
+    assert calls(20) == calls(400)
