--- /dev/null
+++ b/swiftthread/__main__.py
@@ -0,0 +1,54 @@
+"""One delivery node: `python -m swiftthread`. It is told all it needs by LB_CONFIG and its like."""
+import gc
+import os
+import sys
+import time
+
+import anyio
+from loguru import logger
+
+from swiftthread.service.start import serve
+from swiftthread.service.told import Told
+from swiftthread.terms import Malformed
+
+SAME_LINE_S = 5.0       # s: one place in the code writes at most one line in so long; a storm stays readable
+
+
+def sparing():
+    """A filter that lets each place in the code through once in a while, and counts what it kept back."""
+    last = {}               # place -> [moment, lines kept back]; as many as there are places
+
+    def passes(row):
+        seen = last.setdefault((row["file"].name, row["line"]), [-SAME_LINE_S, 0])
+        now = time.monotonic()
+        if now - seen[0] < SAME_LINE_S:
+            seen[1] += 1
+            return False
+        if seen[1]:
+            row["message"] += f" (and {seen[1]} times before)"
+        seen[:] = [now, 0]
+        return True
+    return passes
+
+
+def main():
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", filter=sparing(),
+               backtrace=False, diagnose=False)
+    try:
+        told = Told(os.environ)
+    except Malformed as fault:
+        print(f"swiftthread: {fault}", file=sys.stderr)
+        return 2
+    gc.freeze()
+    code = 0
+    try:
+        anyio.run(serve, told)
+    except* OSError as faults:
+        print(f"swiftthread: {faults.exceptions[0]}", file=sys.stderr)
+        code = 2
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/swiftthread/drill/codec.py
+++ b/swiftthread/drill/codec.py
@@ -1,8 +1,8 @@
 """The drill's binary frames: records in, records out, and the wire's words turned into ours."""
-import json
 import struct
 
 from swiftthread import plain
+from swiftthread.terms import Malformed
 
 HEADER, REPLY = struct.Struct("<IIId"), struct.Struct("<III")
 EVENT_SIZE, ACTION_SIZE = 48, 24
@@ -21,15 +21,10 @@
 
 OUTCOMES = {200: plain.ACKED, 502: plain.ERROR, 429: plain.FULL, 408: plain.TIMEOUT, 521: plain.UNREACHED,
             520: plain.RESET, 444: plain.CANCELLED, 409: plain.UNSENT}
-EFFECTS = {"retryable": plain.IDEMPOTENT, "dedup": plain.DEDUPLICATED, "fragile": plain.NON_IDEMPOTENT}
 FAILED_VIEW, DELTA_VIEW, WHOLE_VIEWS = 3, 2, (0, 4)
 READY, DRAINING, GONE = 2, 3, 0
 
 
-class Malformed(Exception):
-    """The input is not what the wire's page allows; the text says what and where."""
-
-
 def read_frame(stream):
     """The next frame as (number, clock in ms, records, tail), or None at the end of input."""
     head = stream.read(HEADER.size)
@@ -85,40 +80,6 @@
     return dict(zip(names, values[:count]))
 
 
-def ms(seconds):
-    return 1000.0 * (seconds or 0.0)
-
-
-def start_terms(text):
-    """What an instance is handed at start, under our names; what the wire leaves out stays out."""
-    try:
-        conf = json.loads(bytes(text))
-        domain, rules = conf.get("Domain") or {}, conf.get("Obligations") or {}
-        allowed, stats = conf.get("Permissions") or {}, conf.get("Stats") or {}
-        streams = [plain.StreamType(
-            slo_ms=ms(row.get("Aim")), max_age_ms=ms(row.get("Deadline")), utility=row.get("Value", 1.0),
-            late_utility=row.get("LateWorth", 0.0), effect=EFFECTS.get(row.get("Effect"), plain.NON_IDEMPOTENT),
-            group=row.get("Group", "cell"), window_ms=ms(row.get("Window")), in_order=bool(row.get("InTurn")))
-            for row in conf.get("Profiles") or ()]
-        terms = {
-            "streams": streams, "nodes": conf.get("Balancers"), "position": conf.get("Position"),
-            "slots": domain.get("CallsOut"), "room": allowed.get("MaxOpen"), "most_sends": allowed.get("TryLimit"),
-            "batch_by_kind": domain.get("KindBatch"), "apart_by_kind": domain.get("RoutesApart"),
-            "carriage_by_zone": domain.get("Carriage"), "halving": domain.get("LosesWorth") == "by_half",
-            "listed_rates": conf.get("Weights"), "quotas": [row.get("QuotaPerS") for row in conf.get("Realms") or ()],
-            "over_quota_utility": conf.get("OverShareWorth"), "may_probe": allowed.get("Probes"),
-            "may_advise": allowed.get("RetryAfter"), "most_advice_ms": ms(allowed.get("MaxRetryAfter")),
-            "asks_for_list": conf.get("Discovery") == "ask", "fall_multiple": rules.get("FallMultiple"),
-            "cold_from": rules.get("ColdFrom"), "warm_up_ms": ms(rules.get("WarmUp")),
-            "key_rest_ms": ms(rules.get("KeyRest")), "tick_ms": ms(conf.get("Period")),
-            "connect_ms": ms(allowed.get("ConnectTimeout")),
-            "keepalive_ms": ms(allowed["Keepalive"]) if allowed.get("Keepalive") else None,
-        }
-    except (ValueError, AttributeError, TypeError) as fault:
-        raise Malformed(f"the settings of an instance cannot be read: {fault}") from None
-    return {name: value for name, value in terms.items() if value is not None}, stats.get("Fields") or []
-
-
 class Reply:
     """Gathers the actions of one batch and writes them as one frame."""
 
--- a/swiftthread/drill/hosting.py
+++ b/swiftthread/drill/hosting.py
@@ -2,7 +2,7 @@
 import heapq
 from itertools import count
 
-from swiftthread import plain
+from swiftthread import plain, terms
 from swiftthread.choice import Dispatcher
 from swiftthread.drill import codec
 
@@ -128,9 +128,9 @@
             self.pages[fields[0]] = codec.entries(tail, fields[1], fields[2])
             return None
         if code == codec.CREATE:
-            terms, names = codec.start_terms(codec.tail_part(tail, fields[2], fields[3]))
+            start, names = terms.start_terms(codec.tail_part(tail, fields[2], fields[3]))
             names = [name.lower() for name in names]
-            self.instances[fields[0]] = Instance(fields[0], fields[1], terms, names)
+            self.instances[fields[0]] = Instance(fields[0], fields[1], start, names)
             return self.instances[fields[0]]
         if code == codec.SHUTDOWN:
             self.instance(fields[0])
--- a/swiftthread/plain.py
+++ b/swiftthread/plain.py
@@ -1,6 +1,6 @@
 """The plain types that the decisions and their callers share. Nothing is decided here.
 
-A caller (the drill today, a node on sockets later) builds one `choice.Dispatcher` for each instance and
+A caller (the drill, or the node on sockets) builds one `choice.Dispatcher` for each instance and
 then: hands in what it learns (`take`, `listed`, `withdrawn`, `probed`), puts the events that may be asked
 for in order (`in_order`), and makes the three calls: `where`, `after`, `wait`. Moments and lengths of
 time are milliseconds with fractions; moments are read off one clock that only goes forward.
@@ -10,6 +10,7 @@
 # How a send can end, whatever the protocol calls it.
 ACKED, ERROR, FULL, TIMEOUT = "acked", "error", "full", "timeout"
 UNREACHED, RESET, CANCELLED, UNSENT = "unreached", "reset", "cancelled", "unsent"
+NEVER_RAN = (FULL, UNREACHED, UNSENT)       # what surely had no effect
 
 # Effects of a stream type.
 IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT = "idempotent", "deduplicated", "non-idempotent"
--- /dev/null
+++ b/swiftthread/service/limits.py
@@ -0,0 +1,34 @@
+"""The bounds that a node keeps whatever it decides: its machine's limits shared out, and how long peers may take.
+
+All lengths of time are ms. What to send where, when and whether is in choice.py alone.
+"""
+REQUEST_MS = 5000.0         # a client's request, from its first byte to its last; ten times the client's patience
+CLIENT_IDLE_MS = 120000.0   # an idle client connection is closed; clients open another at need
+WATCH_QUIET_MS = 4500.0     # the watch sends an empty line every 2 s: two missed, and it is opened anew
+PLATFORM_MS = 1500.0        # an answer of discovery or to a notice, which the pages say comes at once
+NOTICE_PAUSE_MS = 150.0     # before a notice is repeated that was not answered 204; half of the slack it has
+ANSWERING_MS = 600.0        # after SIGTERM: new connections come for 0.4 s and are answered
+SENDING_MS = 2000.0         # after SIGTERM: sends go on; what is out after it still gets its time until the end
+STOP_MS = 3200.0            # after SIGTERM: the end, half a second before the SIGKILL
+CALL_GONE_MS = 1.0          # least time-out of a call, so that a spent one still ends as timed out
+
+RESERVED_SOCKETS = 32       # the loop's own, log, listener, discovery, notices, and some for accepts to be refused
+IDLE_SHARE = 0.25           # of the sockets: idle connections to endpoints
+MIB = 1024 * 1024
+DISK_MB = 1000 * 1000       # bytes: the smaller of two readings of "MB"
+
+
+class Limits:
+    """What is told at start, shared out."""
+
+    def __init__(self, told, slots, keepalive_ms, connect_ms):
+        sockets = int(told.get("sockets") or 1024)
+        slots = int(slots) if slots and slots < sockets else sockets // 4
+        self.idle_lines = max(4, int(IDLE_SHARE * sockets) - slots)
+        self.clients = max(4, sockets - RESERVED_SOCKETS - self.idle_lines - 2 * slots)
+        self.disk = int(float(told.get("disk_mb") or 3) * DISK_MB)
+        # An idle connection is closed by the endpoint at its time or before: ours ends a fifth earlier.
+        self.most_idle = 0.8 * min(keepalive_ms, 60000.0)
+        self.connect = connect_ms or 1500.0
+        # Events are held in memory with their bodies; an eighth of it is enough beside the interpreter.
+        self.held_bytes = int(float(told.get("memory_mb") or 192) * MIB / 8)
--- /dev/null
+++ b/swiftthread/service/node.py
@@ -0,0 +1,104 @@
+"""One delivery node: the life of an event, from the hand-in to its end."""
+import anyio
+from loguru import logger
+
+from swiftthread import plain
+from swiftthread.choice import Dispatcher
+from swiftthread.wire.courier import End
+
+OUTCOMES = {plain.Decline: "handed_back", plain.Discard: "given_up"}
+
+
+class Node:
+    """Joins the decisions to the log, the turns and what is spoken."""
+
+    def __init__(self, seed, terms, lanes, turns_of, ledger, clock, wall, limits, tasks):
+        self.module = Dispatcher(seed, **terms)
+        self.turns, self.ledger, self.lanes, self.limits = turns_of(self.module), ledger, lanes, limits
+        self.clock, self.wall, self.tasks = clock, wall, tasks
+        self.room, self.max_ages = terms.get("room") or 10000, [stream.max_age_ms for stream in terms["streams"]]
+        self.held_bytes, self.stopping = 0, False
+        self.courier = self.notices = None      # joined by the start, once the lists are known
+
+    def take(self, held):
+        """The door asks: (status, what to do once it is answered). In the log before it is said to be taken."""
+        if held.ident in self.ledger.held:
+            return 202, None        # the same hand-in, sent once more by its client
+        full = len(self.ledger.held) >= self.room or self.held_bytes + len(held.body) > self.limits.held_bytes
+        if self.stopping or full or not self.ledger.room_for(len(held.body)):
+            return 503, None
+        held.ends = min(held.ends, self.wall() + self.max_ages[self.lanes[held.lane]])
+        try:
+            self.ledger.taken(held)
+        except OSError as fault:
+            logger.error("the log cannot take an event: {}", fault.strerror)
+            return 503, None
+        self.begin(held)
+        return 202, lambda: self.tasks.start_soon(self.life, held)
+
+    def begin(self, held):
+        """Hand an event to the module, with what the log knows of its sends."""
+        now, wall = self.clock(), self.wall()
+        evt = held.evt = self.module.take(now, self.lanes[held.lane], held.to, held.ends - wall, held.org,
+                                          held.subject)
+        evt.ticket, evt.sends = held, held.sends
+        if held.maybe is not None:
+            evt.maybe_at, evt.maybe_zone = now - (wall - held.maybe[0]), held.maybe[1]
+        self.held_bytes += len(held.body)
+
+    def resume(self):
+        """What the log says is still owed."""
+        for held in list(self.ledger.held.values()):
+            self.begin(held)
+            if held.decision is not None:
+                self.module.withdrawn(held.evt, self.clock())
+            self.tasks.start_soon(self.life, held)
+
+    async def life(self, held):
+        """An event, from the moment that its client has heard of it to its end."""
+        evt, wait = held.evt, None
+        while held.decision is None:
+            now = await self.turns.ask(evt, wait)
+            answer = self.module.where(evt, now)
+            if isinstance(answer, plain.Send):
+                noted = self.ledger.sent(held, answer.sink.zone)
+                end = await self.courier.carry(held, answer) if noted else End(plain.UNSENT, 0.0)
+                now = await self.turns.tell()
+                answer = self.module.after(evt, end.outcome, now, end.latency, end.told, end.over, end.report)
+                if end.outcome in plain.NEVER_RAN:
+                    self.ledger.never_ran(held)
+                if end.over:
+                    break
+            if isinstance(answer, plain.Later):
+                wait = self.module.wait(evt, now)
+            else:
+                self.ledger.decided(held, OUTCOMES[type(answer)], getattr(answer, "come_back_ms", 0.0))
+        if held.decision is not None:
+            await self.notices.tell(held.ident, *held.decision)
+        self.ledger.ended(held)
+        self.held_bytes -= len(held.body)
+
+    def each_turn(self, now):
+        """What a turn leads to besides events: calls leave, probes, idle connections, the list."""
+        self.courier.leave()
+        for sink in self.module.probes(now):
+            self.tasks.start_soon(self.probe, sink)
+        for sink in self.module.closes(now):
+            self.courier.close_idle(sink)
+
+    async def probe(self, sink):
+        end = await self.courier.probe(sink)
+        now = await self.turns.tell()
+        self.module.probed(sink.ident, end.outcome, now, end.latency, end.report)
+
+    async def listed(self, entries, whole):
+        now = await self.turns.tell()
+        self.module.listed(entries, whole, now)
+
+    async def follow(self, registry):
+        """Keep a watch open; when it ends, the module says when to ask again."""
+        while True:
+            await registry.watch(self.listed)
+            self.module.list_failed(self.clock())
+            while not self.module.wants_list(self.clock()):
+                await anyio.sleep(0.02)
--- /dev/null
+++ b/swiftthread/service/start.py
@@ -0,0 +1,84 @@
+"""Start and stop of one node: everything it owns is made here and given back here."""
+import signal
+import time
+
+import anyio
+from loguru import logger
+
+from swiftthread.service import limits as bounds
+from swiftthread.service.node import Node
+from swiftthread.service.turns import Turns
+from swiftthread.store.buffers import Buffers
+from swiftthread.store.ledger import Ledger
+from swiftthread.store.lines import Lines
+from swiftthread.wire.courier import Courier
+from swiftthread.wire.door import Door
+from swiftthread.wire.line import listening
+from swiftthread.wire.notices import Notices
+from swiftthread.wire.registry import Registry
+
+
+def clock():
+    """The module's clock: ms, forward only."""
+    return time.monotonic() * 1000.0
+
+
+def wall():
+    """Unix time in ms, for what must mean the same after a restart."""
+    return time.time() * 1000.0
+
+
+async def serve(told):
+    """Run one node until SIGTERM, and end inside the time that leaves."""
+    terms = told.terms
+    limits = bounds.Limits(told.limits, terms.get("slots"), terms.get("keepalive_ms", 60000.0), terms.get("connect_ms"))
+    ledger = Ledger(told.state, limits.disk, wall)
+    try:
+        if ledger.cut_off:
+            logger.warning("{} bytes at the end of the log were torn and are cut off", ledger.cut_off)
+        async with anyio.create_task_group() as tasks:
+            buffers, lines = Buffers(), Lines(clock, limits.most_idle, limits.idle_lines)
+            registry = Registry(told.discovery, buffers, told.kinds, told.zones, bounds.WATCH_QUIET_MS,
+                                bounds.PLATFORM_MS)
+            node = Node(told.seed, terms, told.lanes, lambda module: Turns(module, clock, terms.get("tick_ms", 5.0)),
+                        ledger, clock, wall, limits, tasks)
+            node.courier = Courier(tasks, lines, buffers, clock, registry.addresses, limits, told.report_names)
+            node.notices = Notices(told.discovery, buffers, bounds.PLATFORM_MS, bounds.NOTICE_PAUSE_MS)
+            door = Door(node.take, told.lanes, told.tenants, buffers, limits, wall, bounds.REQUEST_MS,
+                        bounds.CLIENT_IDLE_MS)
+            if told.known:
+                node.module.listed(*registry.entries(told.known), clock())
+            node.resume()
+            tasks.start_soon(node.notices.run)
+            tasks.start_soon(node.turns.run, node.each_turn)
+            tasks.start_soon(node.follow, registry)
+            listener = listening(told.listen)
+            try:
+                with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                    tasks.start_soon(door.serve, listener, tasks)
+                    logger.info("{} serves on {}:{}; {} events are owed", told.name, *told.listen, len(ledger.held))
+                    async for _ in signals:
+                        break
+                    await stop(node, door, ledger)
+            finally:
+                listener.close()
+                lines.close_all()
+                tasks.cancel_scope.cancel()
+    finally:
+        ledger.close()
+
+
+async def stop(node, door, ledger):
+    """New events are refused at once, sends go on for a while, calls out get their time; the rest is in the log."""
+    begun = clock()
+    logger.info("stopping; {} events are held", len(ledger.held))
+    node.stopping = True
+    door.close_idle()
+    while clock() - begun < bounds.STOP_MS:
+        await anyio.sleep(0.02)
+        spent = clock() - begun
+        node.turns.sending = spent < bounds.SENDING_MS
+        idle = not any(held.out for held in ledger.held.values()) if not node.turns.sending else not ledger.held
+        if idle and spent > bounds.ANSWERING_MS:
+            break
+    logger.info("stopped; {} events are left in the log", len(ledger.held))
--- /dev/null
+++ b/swiftthread/wire/courier.py
@@ -0,0 +1,188 @@
+"""Calls to endpoints: one event or several in one, probes, and how each ended in the module's words."""
+import base64
+import json
+import math
+
+import anyio
+
+from swiftthread import plain
+from swiftthread.wire.answer import Answer, exchange, parser
+from swiftthread.wire.line import Broken, connect
+
+STATES = {"done": plain.ACKED, "failed": plain.ERROR, "busy": plain.FULL, "void": plain.UNSENT,
+          "used_up": plain.UNSENT}
+OVER = "void"
+
+
+class End:
+    """How a send ended: outcome, latency (ms), told wait (ms), whether the event is over, a load report."""
+
+    def __init__(self, outcome, latency, told=0.0, over=False, report=None):
+        self.outcome, self.latency, self.told, self.over, self.report = outcome, latency, told, over, report
+
+
+class Letter:
+    """What travels in one call: the events' sends, each with the time until which it waits."""
+
+    def __init__(self, sink):
+        self.sink, self.sends = sink, {}        # held -> (moment, whether its time ends then)
+        self.ends, self.done = {}, {}           # held -> End; held -> the flag that says so
+
+    def add(self, held, until, is_last):
+        self.sends[held], self.done[held] = (until, is_last), anyio.Event()
+
+    def end(self, held, end):
+        if held not in self.ends:
+            self.ends[held] = end
+            self.done[held].set()
+
+
+class Courier:
+    """Owner of connections while a call is on them; idle ones are the store's."""
+
+    def __init__(self, tasks, lines, buffers, clock, addresses, limits, report_names):
+        self.tasks, self.lines, self.buffers, self.clock = tasks, lines, buffers, clock
+        self.addresses, self.limits, self.report_names = addresses, limits, report_names
+        self.letters = {}       # call -> letter; emptied each turn, when they leave
+
+    async def carry(self, held, send):
+        """The end of this send. It leaves at the end of this turn, with those that joined its call."""
+        now = self.clock()
+        letter = self.letters.setdefault(held.evt.call, Letter(send.sink))
+        letter.add(held, now + send.allow_ms, now + send.allow_ms >= held.evt.ends_at - 1.0)
+        await letter.done[held].wait()
+        return letter.ends[held]
+
+    def leave(self):
+        letters, self.letters = self.letters, {}
+        for letter in letters.values():
+            self.tasks.start_soon(self._call, letter)
+
+    async def _call(self, letter):
+        """One call, from its connection to the end of each event in it."""
+        started, answer = self.clock(), Answer()
+        outcome = plain.UNREACHED
+        # An event that may go again elsewhere ends its call with it, so that never two of its sends are out.
+        again = [until for until, is_last in letter.sends.values() if not is_last]
+        until = min(again) if again else max(until for until, _ in letter.sends.values())
+        address, line = self.addresses.get(letter.sink.ident), None
+        if len(letter.sends) > 1:
+            self.tasks.start_soon(self._end_the_last, letter, started)
+        try:
+            with anyio.move_on_after(max(0.0, until - started) / 1000.0):
+                line = await self._line(address)
+                outcome = plain.RESET
+                await exchange(line, "POST", *self._written(letter, until), answer)
+            if line and not answer.whole:
+                outcome = plain.TIMEOUT
+                # A node that stood still may find its answer beside the timer that ran out.
+                while line.read_now():
+                    answer.absorb(line)
+        except Broken as fault:
+            if not fault.written:
+                outcome = plain.UNREACHED
+        finally:
+            self._back(address, line, answer)
+        self._read(letter, answer, outcome, self.clock() - started)
+
+    def _back(self, address, line, answer):
+        """The one place where a connection that was out for a call is kept or closed."""
+        if line is not None and answer.keeps(line):
+            self.lines.give(address, line)
+        elif line is not None:
+            line.close()
+
+    async def _end_the_last(self, letter, started):
+        """Events whose own time ends while others of the call still wait are told so: they won't go again."""
+        for until, held in sorted(((until, held) for held, (until, is_last) in letter.sends.items() if is_last),
+                                  key=lambda row: row[0]):
+            await anyio.sleep(max(0.0, until - self.clock()) / 1000.0)
+            letter.end(held, End(plain.TIMEOUT, self.clock() - started))
+
+    async def _line(self, address):
+        if address is None:
+            raise Broken(False)
+        line = self.lines.take(address)
+        if line is None:
+            with anyio.move_on_after(self.limits.connect / 1000.0):
+                return await connect(address, self.buffers, parser())
+            raise Broken(False)
+        return line
+
+    def _written(self, letter, until):
+        """Target, headers and body of the call."""
+        headers = [("Host", "endpoint"), ("X-Remaining", f"{max(1, int(until - self.clock()))}m")]
+        if len(letter.sends) == 1:
+            held, = letter.sends
+            headers.append(("X-Txn", held.ident))
+            if held.key:
+                headers.append(("Idempotency-Key", held.key))
+            return "/receive", headers, held.body
+        rows = [{"id": held.ident, "body": base64.b64encode(held.body).decode()}
+                | ({"key": held.key} if held.key else {}) for held in letter.sends]
+        return "/receive-many", [*headers, ("Content-Type", "application/json")], json.dumps(rows).encode()
+
+    def _read(self, letter, answer, outcome, latency):
+        """Give each event of the call its end."""
+        status, over, states = answer.status, False, {}
+        told, report = _told(answer.headers), self._report(answer.headers)
+        if status == 200 and len(letter.sends) > 1:
+            states = _states(answer)
+            outcome = outcome if not answer.whole else plain.RESET      # for one that the answer leaves out
+        elif status is not None:
+            over = status == 410
+            if status == 200:
+                outcome = plain.ACKED
+            elif status in (400, 410, 413, 504) or status == 503 and answer.headers.get("x-egress-full") == "1":
+                outcome = plain.UNSENT
+            else:
+                outcome = plain.FULL if status in (429, 503) else plain.ERROR
+        for held in letter.sends:
+            state = states.get(held.ident)
+            ended = STATES.get(state, outcome)
+            letter.end(held, End(ended, latency, told, over or state == OVER or ended == plain.ACKED, report))
+
+    def _report(self, headers):
+        try:
+            values = json.loads(headers["x-pressure"])
+            return {name: float(values[name]) for name in self.report_names if name in values}
+        except (KeyError, ValueError, TypeError):
+            return {}
+
+    async def probe(self, sink):
+        """Outcome and latency of one probe, and the report where there are any."""
+        started, answer, line, address = self.clock(), Answer(), None, self.addresses.get(sink.ident)
+        outcome = plain.TIMEOUT
+        try:
+            with anyio.move_on_after(self.limits.connect / 1000.0):
+                line = await self._line(address)
+                target = "/_load" if self.report_names else "/ping"
+                await exchange(line, "GET", target, [("Host", "endpoint")], b"", answer)
+        except Broken:
+            outcome = plain.UNREACHED
+        finally:
+            self._back(address, line, answer)
+        if answer.status is not None:
+            outcome = plain.ACKED if answer.status == 200 else plain.FULL if answer.status == 503 else plain.ERROR
+        return End(outcome, self.clock() - started, report=self._report(answer.headers))
+
+    def close_idle(self, sink):
+        if sink.ident in self.addresses:
+            self.lines.close(self.addresses[sink.ident])
+
+
+def _told(headers):
+    """A told wait in ms; 0 for none, and for one that is no number."""
+    try:
+        wait = 1000.0 * float(headers.get("retry-after", 0))
+        return wait if math.isfinite(wait) and wait > 0 else 0.0
+    except ValueError:
+        return 0.0
+
+
+def _states(answer):
+    """Event id -> state, as far as the answer can be read."""
+    try:
+        return {row["id"]: row["state"] for row in json.loads(bytes(answer.body)) if row["state"] in STATES}
+    except (ValueError, TypeError, KeyError):
+        return {}
--- /dev/null
+++ b/swiftthread/wire/line.py
@@ -0,0 +1,107 @@
+"""One TCP connection, without a library's buffers between it and us: what was written is known to the byte."""
+import errno
+import socket
+
+import anyio
+
+GONE = (ConnectionError, TimeoutError, OSError)
+
+
+class Broken(Exception):
+    """The connection is over. `written` tells whether the kernel had taken all bytes of the last message."""
+
+    def __init__(self, written):
+        super().__init__("the connection is over")
+        self.written = written
+
+
+class Line:
+    """A connection and its parser. Who opens or accepts it closes it."""
+
+    def __init__(self, sock, buffers, parser):
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock, self.buffers, self.parser, self.idle_since = sock, buffers, parser, 0.0
+
+    async def write(self, *parts):
+        """All parts as one message, in order."""
+        left = memoryview(b"".join(parts))
+        while left:
+            try:
+                left = left[self.sock.send(left):]
+            except BlockingIOError:
+                await anyio.wait_writable(self.sock)
+            except GONE:
+                raise Broken(False) from None
+
+    def read_now(self):
+        """Hand the parser what has come; False when nothing has."""
+        try:
+            with self.buffers.lent() as buffer:
+                size = self.sock.recv_into(buffer)
+                self.parser.receive_data(bytes(buffer[:size]))
+        except BlockingIOError:
+            return False
+        except RuntimeError:        # the parser was told of the end before
+            raise Broken(True) from None
+        except GONE:
+            raise Broken(True) from None
+        return True
+
+    async def read(self):
+        while not self.read_now():
+            await anyio.wait_readable(self.sock)
+
+    def fresh(self):
+        """Nothing has come since the last answer: neither an end nor stray bytes."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except GONE:
+            pass
+        return False
+
+    def close(self):
+        self.sock.close()
+
+
+async def connect(address, buffers, parser):
+    """A connection to (host, port); Broken when it is refused or never comes up."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        code = sock.connect_ex(address)
+        if code == errno.EINPROGRESS:
+            await anyio.wait_writable(sock)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise Broken(False)
+        return Line(sock, buffers, parser)
+    except BaseException as fault:
+        sock.close()
+        if isinstance(fault, OSError):
+            raise Broken(False) from None
+        raise
+
+
+def listening(address):
+    """A socket that listens on (host, port)."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(512)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def address_of(text):
+    """"10.0.0.4:9000" as (host, port); ValueError when it is no such thing."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return host, int(port)
--- /dev/null
+++ b/swiftthread/wire/notices.py
@@ -0,0 +1,67 @@
+"""Notices to the platform: one line for each event that ends undelivered, repeated until it is answered 204."""
+import json
+
+import anyio
+from loguru import logger
+
+from swiftthread.wire.answer import Answer, exchange, parser
+from swiftthread.wire.line import Broken, connect
+
+AT_ONCE = 200       # lines in one body: well inside 64 KiB
+
+
+class Notices:
+    """Owner of the connection that notices go on."""
+
+    def __init__(self, address, buffers, answer_ms, pause_ms):
+        self.address, self.buffers, self.answer, self.pause = address, buffers, answer_ms, pause_ms
+        self.waiting = {}       # event id -> (line, flag); emptied as notices are answered
+        self.bell, self.line = anyio.Event(), None
+
+    async def tell(self, ident, outcome, retry_in_ms):
+        """Return once the platform has the notice."""
+        row = {"message": ident, "outcome": outcome}
+        if retry_in_ms:
+            row["retry_in_ms"] = round(retry_in_ms)
+        told = anyio.Event()
+        self.waiting[ident] = (json.dumps(row), told)
+        self.bell.set()
+        await told.wait()
+
+    async def run(self):
+        try:
+            while True:
+                if not self.waiting:
+                    self.bell = anyio.Event()
+                    await self.bell.wait()
+                batch = dict(list(self.waiting.items())[:AT_ONCE])
+                if await self._post(batch):
+                    for ident, (_, told) in batch.items():
+                        del self.waiting[ident]
+                        told.set()
+                else:
+                    logger.warning("notices are not answered, {} wait", len(self.waiting))
+                    await anyio.sleep(self.pause / 1000.0)
+        finally:
+            self._close()
+
+    async def _post(self, batch):
+        body = "".join(line + "\n" for line, _ in batch.values()).encode()
+        answer, kept = Answer(), self.line is not None and self.line.fresh()
+        if not kept:
+            self._close()
+        try:
+            with anyio.move_on_after(self.answer / 1000.0):
+                if self.line is None:
+                    self.line = await connect(self.address, self.buffers, parser())
+                await exchange(self.line, "POST", "/status", [("Host", "discovery")], body, answer)
+        except Broken:
+            pass
+        if self.line is not None and not answer.keeps(self.line):
+            self._close()
+        return answer.whole and answer.status == 204
+
+    def _close(self):
+        if self.line is not None:
+            self.line.close()
+            self.line = None
--- /dev/null
+++ b/swiftthread/wire/registry.py
@@ -0,0 +1,84 @@
+"""Discovery: the list of endpoints, by a watch that is opened anew when it ends or falls silent."""
+import json
+
+import anyio
+import h11
+from loguru import logger
+
+from swiftthread.wire.answer import parser, request
+from swiftthread.wire.line import Broken, address_of, connect
+
+MOST_LINE = 4 * 1024 * 1024     # bytes: far over the list of any fleet of the pages
+READY, GONE = "SERVING", "DELETED"
+
+
+class Registry:
+    """Owner of the watch's connection and of the addresses."""
+
+    def __init__(self, address, buffers, kinds, zones, quiet_ms, connect_ms):
+        self.address, self.buffers, self.kinds, self.zones = address, buffers, kinds, zones
+        self.quiet, self.connect = quiet_ms, connect_ms
+        self.version, self.addresses = 0, {}        # endpoint id -> (host, port); emptied as endpoints go
+
+    def entries(self, page):
+        """A list in discovery's form as the module's (entries, whole). Lines that cannot be read are left out."""
+        found, whole = [], bool(page.get("full"))
+        if whole:
+            self.addresses.clear()
+        for row in page.get("servers") or ():
+            try:
+                ident, state = str(row["id"]), row["state"]
+                if state == GONE:
+                    self.addresses.pop(ident, None)
+                else:
+                    self.addresses[ident] = address_of(row["addr"])
+                found.append((ident, int(row["cell"]), self.zones.get(row.get("zone"), 0),
+                              self.kinds.get(row.get("kind"), 0), float(row.get("weight") or 0.0), state == READY))
+            except (KeyError, ValueError, TypeError, AttributeError):
+                logger.warning("an entry of discovery cannot be read")
+        self.version = int(page.get("version") or self.version)
+        return found, whole
+
+    async def watch(self, told):
+        """Hand each list that comes to `told`, until the watch ends, falls silent or breaks."""
+        line = None
+        try:
+            with anyio.fail_after(self.connect / 1000.0):
+                line = await connect(self.address, self.buffers, parser())
+            target = f"/catalog/members?watch=1&from={self.version}"
+            await line.write(*request(line, "GET", target, [("Host", "discovery")]))
+            rest = b""
+            while True:
+                with anyio.fail_after(self.quiet / 1000.0):
+                    data = await self._part(line)
+                if data is None:
+                    return
+                *rows, rest = (rest + data).split(b"\n")
+                if len(rest) > MOST_LINE:
+                    raise Broken(True)
+                for row in rows:
+                    if row.strip():
+                        await told(*self.entries(json.loads(row)))
+        except (Broken, TimeoutError):
+            logger.info("the watch ended")
+        except (ValueError, AttributeError, TypeError, h11.RemoteProtocolError):
+            self.version = 0        # what was missed is unknown: the whole list is asked for
+            logger.warning("the watch cannot be read")
+        finally:
+            if line is not None:
+                line.close()
+
+    @staticmethod
+    async def _part(line):
+        """The next bytes of the body; None at its end."""
+        while True:
+            part = line.parser.next_event()
+            if part is h11.NEED_DATA:
+                await line.read()
+            elif isinstance(part, h11.Data):
+                return bytes(part.data)
+            elif isinstance(part, h11.Response):
+                if part.status_code != 200:
+                    return None
+            else:
+                return None
