--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -56,6 +56,18 @@
 
     async def life(self, held):
         """An event, from the moment that its client has heard of it to its end."""
+        try:
+            await self.deliver(held)
+        except Exception:       # guards the other events: a fault ends this one alone, and nothing is promised of it
+            logger.exception("the life of an event failed; it is given up")
+            self.ledger.decided(held, OUTCOMES[plain.Discard], 0.0)
+        if held.decision is not None:
+            await self.notices.tell(held.ident, *held.decision)
+        self.ledger.ended(held)
+        self.held_bytes -= len(held.body)
+
+    async def deliver(self, held):
+        """Ask, send, learn, until it is over or a decision is in the log."""
         evt, wait = held.evt, None
         while held.decision is None:
             now = await self.turns.ask(evt, wait)
@@ -73,10 +85,6 @@
                 wait = self.module.wait(evt, now)
             else:
                 self.ledger.decided(held, OUTCOMES[type(answer)], getattr(answer, "come_back_ms", 0.0))
-        if held.decision is not None:
-            await self.notices.tell(held.ident, *held.decision)
-        self.ledger.ended(held)
-        self.held_bytes -= len(held.body)
 
     def each_turn(self, now):
         """What a turn leads to besides events: calls leave, probes, idle connections, the list."""
--- a/swiftthread/service/told.py
+++ b/swiftthread/service/told.py
@@ -26,6 +26,8 @@
             self.state = environ.get("LB_STATE") or conf["state"]
             self.seed, self.known, self.limits = int(str(conf["seed"]), 16), conf.get("known"), conf.get("limits") or {}
             self.terms, self.report_names = terms_of(conf["settings"])
+            if not isinstance(self.known, dict):
+                self.known = None       # the watch will tell
             self.lanes, self.kinds, self.zones, self.tenants = names_of(conf["settings"])
         except KeyError as fault:
             raise Malformed(f"the configuration lacks {fault}") from None
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -12,6 +12,7 @@
 STATES = {"done": plain.ACKED, "failed": plain.ERROR, "busy": plain.FULL, "void": plain.UNSENT,
           "used_up": plain.UNSENT}
 OVER = "void"
+UNREADABLE = (KeyError, ValueError, TypeError, OverflowError, RecursionError)   # of what others wrote as JSON
 
 
 class End:
@@ -145,8 +146,9 @@
     def _report(self, headers):
         try:
             values = json.loads(headers["x-pressure"])
-            return {name: float(values[name]) for name in self.report_names if name in values}
-        except (KeyError, ValueError, TypeError):
+            report = {name: float(values[name]) for name in self.report_names if name in values}
+            return report if all(map(math.isfinite, report.values())) else {}
+        except UNREADABLE:
             return {}
 
     async def probe(self, sink):
@@ -184,5 +186,5 @@
     """Event id -> state, as far as the answer can be read."""
     try:
         return {row["id"]: row["state"] for row in json.loads(bytes(answer.body)) if row["state"] in STATES}
-    except (ValueError, TypeError, KeyError):
+    except UNREADABLE:
         return {}
--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -11,6 +11,7 @@
 
 MOST_BODY = 64 * 1024               # bytes, the page's
 MOST_HEAD = 16 * 1024               # bytes of a request's line and headers
+FINISH_MS = 300.0                   # for the rest of a bad request, which is read and dropped
 REMAINING = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 DEST = re.compile(r"(?:^|[;,\s])dest=(\d{1,9})(?:$|[;,\s])")
 TOKEN = re.compile(r"[!-~]{1,200}")
@@ -19,11 +20,11 @@
 
 
 class Bad(Exception):
-    """A request that is answered with this status and taken no further."""
+    """A request that is answered with this status; its connection ends."""
 
-    def __init__(self, status, close=False):
+    def __init__(self, status):
         super().__init__(status)
-        self.status, self.close = status, close
+        self.status = status
 
 
 class Door:
@@ -40,6 +41,7 @@
         while True:
             try:
                 sock, _ = listener.accept()
+                line = Line(sock, self.buffers, h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD))
             except BlockingIOError:
                 await anyio.wait_readable(listener)
                 continue
@@ -47,7 +49,6 @@
                 logger.warning("a client could not be accepted: {}", fault.strerror)
                 await anyio.sleep(0.05)
                 continue
-            line = Line(sock, self.buffers, h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD))
             while len(self.lines) >= self.limits.clients and self._close_idle_one():
                 pass
             self.lines[line] = True
@@ -78,14 +79,15 @@
                     request, body = await self._request(line)
                     status, then = self._handed_in(request, body) if not crowded else (503, None)
                 except Bad as bad:
-                    status, then = bad.status, None
-                    if bad.close:
-                        await self._answer(line, status, True)
-                        return
+                    await self._answer(line, bad.status, True)
+                    await line.finish(FINISH_MS)
+                    return
                 ends = self.closing or crowded
-                await self._answer(line, status, ends)
-                if then is not None:
-                    then()
+                try:
+                    await self._answer(line, status, ends)
+                finally:
+                    if then is not None:        # it is taken, also when its client is gone
+                        then()
                 if ends or line.parser.our_state is not h11.DONE or line.parser.their_state is not h11.DONE:
                     return
                 line.parser.start_next_cycle()
@@ -103,7 +105,7 @@
                 try:
                     part = line.parser.next_event()
                 except h11.RemoteProtocolError as fault:
-                    raise Bad(fault.error_status_hint, True) from None
+                    raise Bad(fault.error_status_hint) from None
                 if part is h11.NEED_DATA:
                     if line.parser.they_are_waiting_for_100_continue:
                         await line.write(line.parser.send(h11.InformationalResponse(status_code=100, headers=[])))
@@ -116,14 +118,14 @@
                 elif isinstance(part, h11.Data):
                     body += part.data
                     if len(body) > MOST_BODY:
-                        raise Bad(413, True)
+                        raise Bad(413)
                 elif isinstance(part, h11.EndOfMessage):
                     return request, bytes(body)
                 else:
                     raise Broken(True)
         if self.lines.get(line):
             raise Broken(True)
-        raise Bad(408, True)
+        raise Bad(408)
 
     def _handed_in(self, request, body):
         """(status, what to do once it is answered)."""
--- a/swiftthread/wire/line.py
+++ b/swiftthread/wire/line.py
@@ -4,8 +4,6 @@
 
 import anyio
 
-GONE = (ConnectionError, TimeoutError, OSError)
-
 
 class Broken(Exception):
     """The connection is over. `written` tells whether the kernel had taken all bytes of the last message."""
@@ -30,8 +28,8 @@
             try:
                 left = left[self.sock.send(left):]
             except BlockingIOError:
-                await anyio.wait_writable(self.sock)
-            except GONE:
+                await self._when(anyio.wait_writable)
+            except OSError:
                 raise Broken(False) from None
 
     def read_now(self):
@@ -42,15 +40,32 @@
                 self.parser.receive_data(bytes(buffer[:size]))
         except BlockingIOError:
             return False
-        except RuntimeError:        # the parser was told of the end before
-            raise Broken(True) from None
-        except GONE:
+        except (OSError, RuntimeError):     # the latter: the parser was told of the end before
             raise Broken(True) from None
         return True
 
     async def read(self):
         while not self.read_now():
-            await anyio.wait_readable(self.sock)
+            await self._when(anyio.wait_readable)
+
+    async def _when(self, can):
+        try:
+            await can(self.sock)
+        except (anyio.ClosedResourceError, OSError, ValueError):
+            raise Broken(True) from None    # closed here while this task waited
+
+    async def finish(self, most_ms):
+        """End our side, and read on until the other ends too: else a reset may overtake the answer."""
+        with anyio.move_on_after(most_ms / 1000.0):
+            try:
+                self.sock.shutdown(socket.SHUT_WR)
+                with self.buffers.lent() as buffer:
+                    while True:
+                        await self._when(anyio.wait_readable)
+                        if not self.sock.recv_into(buffer):
+                            return
+            except (OSError, Broken):
+                pass
 
     def fresh(self):
         """Nothing has come since the last answer: neither an end nor stray bytes."""
@@ -58,12 +73,15 @@
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return True
-        except GONE:
+        except OSError:
             pass
         return False
 
     def close(self):
-        self.sock.close()
+        """Whoever waits on it is woken, and finds it broken."""
+        if self.sock.fileno() >= 0:
+            anyio.notify_closing(self.sock)
+            self.sock.close()
 
 
 async def connect(address, buffers, parser):
--- a/swiftthread/wire/registry.py
+++ b/swiftthread/wire/registry.py
@@ -34,7 +34,7 @@
                     self.addresses[ident] = address_of(row["addr"])
                 found.append((ident, int(row["cell"]), self.zones.get(row.get("zone"), 0),
                               self.kinds.get(row.get("kind"), 0), float(row.get("weight") or 0.0), state == READY))
-            except (KeyError, ValueError, TypeError, AttributeError):
+            except (KeyError, ValueError, TypeError, AttributeError, OverflowError):
                 logger.warning("an entry of discovery cannot be read")
         self.version = int(page.get("version") or self.version)
         return found, whole
@@ -61,7 +61,7 @@
                         await told(*self.entries(json.loads(row)))
         except (Broken, TimeoutError):
             logger.info("the watch ended")
-        except (ValueError, AttributeError, TypeError, h11.RemoteProtocolError):
+        except (ValueError, AttributeError, TypeError, OverflowError, RecursionError):
             self.version = 0        # what was missed is unknown: the whole list is asked for
             logger.warning("the watch cannot be read")
         finally:
@@ -72,7 +72,10 @@
     async def _part(line):
         """The next bytes of the body; None at its end."""
         while True:
-            part = line.parser.next_event()
+            try:
+                part = line.parser.next_event()
+            except h11.RemoteProtocolError:
+                raise Broken(True) from None
             if part is h11.NEED_DATA:
                 await line.read()
             elif isinstance(part, h11.Data):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from trace import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Run
+from helpers import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Run
 
 ONE = [(1, 0, 0, 0, 4.0, True)]
 TWO = [(1, 0, 0, 0, 4.0, True), (2, 0, 1, 0, 4.0, True)]
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,346 @@
+"""The node as a program: started, spoken to over sockets, killed and started again."""
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from helpers import Endpoint, Program, Speaker, lane, until
+
+REFUSED = (429, [("Retry-After", "0.6")], b"")
+
+
+def test_an_event_is_acked_and_leaves_the_log(tmp_path):
+    endpoint = Endpoint()
+    with Program(tmp_path, endpoint) as node:
+        assert node.hand_in("posting", b"\x00any\xff", **{"Idempotency-Key": "k-1"}) == 202
+        until(lambda: endpoint.calls)
+        _, target, headers, body = endpoint.calls[0]
+        assert (target, headers["x-txn"], headers["idempotency-key"], body) == ("/receive", "evt-1", "k-1",
+                                                                               b"\x00any\xff")
+        assert headers["x-remaining"][-1] == "m" and 0 < int(headers["x-remaining"][:-1]) <= 4000
+        until(lambda: b'E["evt-1"]' in node.ledger().read_bytes())
+        assert node.stop() == 0
+        assert node.start().stop() == 0 and len(endpoint.calls) == 1 and node.notices() == {}
+
+
+@pytest.mark.parametrize("first", [503, 500, "reset", b"HTTP/1.1 lots of nonsense\r\n\r\n", b"",
+                                   b"HTTP/1.1 200 OK\r\nX: " + b"y" * 70000,
+                                   (429, [("Retry-After", "soon")], b"")])
+def test_an_idempotent_event_goes_again_whatever_the_first_answer(tmp_path, first):
+    endpoint = Endpoint(first, 200)
+    with Program(tmp_path, endpoint) as node:
+        assert node.hand_in() == 202
+        until(lambda: len(endpoint.calls) == 2)
+        assert node.stop() == 0 and node.notices() == {}
+
+
+@pytest.mark.parametrize("first, calls, told", [(503, 2, {}), (500, 1, {"evt-1": "given_up"}),
+                                                ("reset", 1, {"evt-1": "given_up"}), (410, 1, {}), (504, 2, {})])
+def test_a_non_idempotent_event_goes_again_only_if_it_surely_did_not_run(tmp_path, first, calls, told):
+    endpoint = Endpoint(first, 200)
+    with Program(tmp_path, endpoint) as node:
+        assert node.hand_in("once") == 202
+        until(lambda: b'E["evt-1"]' in node.ledger().read_bytes())
+        assert len(endpoint.calls) == calls and node.notices() == told
+
+
+def test_a_told_wait_holds_back_all_events_of_the_destination(tmp_path):
+    first, second = Endpoint(REFUSED, 200), Endpoint(REFUSED, 200, ident="s-2")
+    with Program(tmp_path, first, second) as node:
+        node.hand_in()
+        until(lambda: first.calls or second.calls)
+        for _ in range(4):
+            assert node.hand_in("posting") == 202
+        until(lambda: len(first.calls) + len(second.calls) >= 6)
+        times = sorted(call[0] for call in first.calls + second.calls)
+        waits = [at for at in times[1:] if at - times[0] < 0.6]
+        assert not waits
+
+
+def test_a_closed_port_is_a_connect_that_failed_and_may_go_elsewhere(tmp_path):
+    closed, open_ = Endpoint(ident="s-2"), Endpoint()
+    closed.cut()
+    with Program(tmp_path, closed, open_) as node:
+        for number in range(1, 5):
+            assert node.hand_in("once") == 202
+            until(lambda: len(open_.calls) == number)
+        assert node.stop() == 0 and node.notices() == {}
+
+
+def test_a_silent_endpoint_times_out_is_probed_and_never_has_two_sends_of_an_event(tmp_path):
+    endpoint = Endpoint(None, 200)
+    with Program(tmp_path, endpoint) as node:
+        began = time.monotonic()
+        assert node.hand_in() == 202
+        until(lambda: len(endpoint.calls) == 2)
+        assert endpoint.probes == 1 and endpoint.calls[1][0] - began > 1.0
+        assert endpoint.idents() == ["evt-1", "evt-1"]
+
+
+def test_what_cannot_be_sent_is_handed_back_before_its_max_age(tmp_path):
+    endpoint = Endpoint()
+    endpoint.cut()
+    with Program(tmp_path, endpoint) as node:
+        began = time.monotonic()
+        assert node.hand_in("once", left="700m") == 202 and node.hand_in("posting", left="500000u") == 202
+        node.discovery.refusing = 2
+        until(lambda: node.notices() == {"evt-1": "handed_back", "evt-2": "handed_back"})
+        assert 0.4 < time.monotonic() - began < 1.3
+        assert all(row["retry_in_ms"] > 0 for row in node.discovery.notices)
+
+
+def many(states, cut=0):
+    """An answer to a call of several: the states in turn, the last `cut` bytes of it missing."""
+    def answer(body):
+        rows = json.loads(body) if body.startswith(b"[") else None
+        if not isinstance(rows, list):
+            return 200
+        said = json.dumps([{"id": row["id"], "state": state} for row, state in zip(rows, states)])
+        return 200, [], said[:len(said) - cut].encode()
+    return answer
+
+
+def test_several_in_one_call_each_have_their_end(tmp_path):
+    states = ["done", "failed", "busy", "void", "used_up"]
+    endpoint = Endpoint(REFUSED, many(states), many(["done"] * 5))
+    with Program(tmp_path, endpoint, Domain={"KindBatch": [5]}) as node:
+        assert node.hand_in() == 202
+        until(lambda: endpoint.calls)
+        for _ in range(4):
+            assert node.hand_in("once", b"\xfe") == 202
+        until(lambda: all(b'E["evt-%d"]' % i in node.ledger().read_bytes() for i in range(1, 6)))
+        assert endpoint.calls[1][1] == "/receive-many"
+        sent = [row["id"] for row in json.loads(endpoint.calls[1][3])]
+        again = [ident for call in endpoint.calls[2:] for ident in
+                 ([call[2]["x-txn"]] if call[1] == "/receive" else [row["id"] for row in json.loads(call[3])])]
+        unsafe = sent[1] if sent[1] != "evt-1" else None
+        assert set(again) - {"evt-1"} == {sent[2], sent[4]} - {"evt-1"}
+        assert node.notices() == ({unsafe: "given_up"} if unsafe else {})
+
+
+def test_an_unreadable_answer_for_several_may_have_run(tmp_path):
+    endpoint = Endpoint(REFUSED, many(["done"] * 5, cut=3), 200)
+    with Program(tmp_path, endpoint, Domain={"KindBatch": [5]}) as node:
+        node.hand_in("once")
+        until(lambda: endpoint.calls)
+        node.hand_in("once")
+        until(lambda: node.notices() == {"evt-1": "given_up", "evt-2": "given_up"})
+        assert len(endpoint.calls) == 2
+
+
+def test_events_in_order_go_one_at_a_time_in_the_order_taken(tmp_path):
+    def slow(_body):
+        time.sleep(0.1)
+        return 200
+    endpoint = Endpoint("reset", slow)
+    with Program(tmp_path, endpoint) as node:
+        for _ in range(3):
+            assert node.hand_in("turn/till-7") == 202
+        until(lambda: len(endpoint.calls) == 4)
+        assert endpoint.idents() == ["evt-1", "evt-1", "evt-2", "evt-3"]
+        assert all(later[0] - sooner[0] >= 0.1 for sooner, later in zip(endpoint.calls[1:], endpoint.calls[2:]))
+
+
+def test_a_kept_connection_is_used_again_but_not_near_its_idle_time(tmp_path):
+    endpoint = Endpoint(idle_s=1.0)
+    with Program(tmp_path, endpoint, Permissions={"Keepalive": 1.0}) as node:
+        opened = []
+        for number, pause in enumerate([0.0] * 16 + [0.9, 0.9], 1):
+            time.sleep(pause)
+            assert node.hand_in("once") == 202
+            until(lambda: b'E["evt-%d"]' % number in node.ledger().read_bytes())
+            opened.append(endpoint.accepted)
+        assert opened[-1] == opened[-2] + 1 == opened[-3] + 2 == opened[-5] + 2
+        assert (len(endpoint.calls), node.notices()) == (18, {})
+
+
+def test_a_list_is_followed_and_a_lost_watch_opened_anew(tmp_path):
+    old, new = Endpoint(), Endpoint(ident="s-2")
+    with Program(tmp_path, old) as node:
+        until(lambda: node.discovery.watches)
+        node.discovery.tell(old.entry("DRAINING"), new.entry())
+        time.sleep(0.2)
+        assert node.hand_in() == 202
+        until(lambda: new.calls)
+        node.discovery.lose_watches()
+        until(lambda: node.discovery.watches)
+        assert node.discovery.targets == ["/catalog/members?watch=1&from=1", "/catalog/members?watch=1&from=2"]
+        node.discovery.tell(new.entry("DELETED"), old.entry())
+        time.sleep(0.2)
+        assert node.hand_in() == 202
+        until(lambda: old.calls)
+        assert len(new.calls) == len(old.calls) == 1
+
+
+def test_a_broken_line_of_the_watch_leads_to_the_whole_list(tmp_path):
+    endpoint = Endpoint()
+    with Program(tmp_path, endpoint, known=False) as node:
+        until(lambda: node.discovery.watches)
+        node.discovery._line(node.discovery.watches[0], '{"version": 7, "servers": [{"id"')
+        until(lambda: len(node.discovery.targets) == 2)
+        assert node.discovery.targets[1].endswith("from=0")
+        node.discovery.tell({"id": 5, "addr": "nowhere"}, {"cell": []}, 7)
+        assert node.hand_in() == 202
+        until(lambda: endpoint.calls)
+
+
+def test_sigterm_refuses_what_is_new_answers_what_was_read_and_ends_in_time(tmp_path):
+    endpoint = Endpoint(200, None)
+    with Program(tmp_path, endpoint) as node:
+        conns = [node.open() for _ in range(3)]
+        for conn in conns:
+            conn.sendall(node.bytes_of("once"))
+            assert conn.recv(999).startswith(b"HTTP/1.1 202")
+        half = node.open()
+        half.sendall(node.bytes_of()[:-2])
+        time.sleep(0.3)
+        began = time.monotonic()
+        node.process.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        half.sendall(b"lo")
+        assert half.recv(999).startswith(b"HTTP/1.1 503")
+        assert node.hand_in() == 503
+        assert [conn.recv(9) for conn in conns] == [b""] * 3
+        assert node.process.wait(timeout=5) == 0 and time.monotonic() - began < 3.6
+        assert len(endpoint.calls) > 1
+        sent = len(set(endpoint.idents()))
+        endpoint.script[:] = [200]
+        node.start()
+        until(lambda: len(node.notices()) == sent - 1)
+        assert set(node.notices().values()) == {"given_up"}
+        assert len(endpoint.idents()) == len(set(endpoint.idents()))
+
+
+def test_sigkill_loses_nothing_and_repeats_no_send_that_may_have_run(tmp_path):
+    endpoint = Endpoint(None)
+    with Program(tmp_path, endpoint, Domain={"CallsOut": 2}) as node:
+        assert node.hand_in("once") == 202
+        until(lambda: endpoint.calls)
+        for stream in ("notice", "posting", "once"):
+            assert node.hand_in(stream) == 202
+        time.sleep(0.1)
+        out = set(endpoint.idents())
+        assert node.stop(signal.SIGKILL) == -9
+        with open(node.ledger(), "ab") as torn:
+            torn.write(b"\x07\x00\x00\x00half a record")
+        endpoint.script[:], endpoint.calls[:] = [200], []
+        node.discovery.refusing = 3
+        node.start()
+        assert node.hand_in("once") == 202
+        until(lambda: set(endpoint.idents()) >= {"evt-2", "evt-3", "evt-5"} and "evt-1" in node.notices())
+        assert node.notices()["evt-1"] == "given_up" and "evt-1" not in endpoint.idents()
+        assert ("evt-4" in endpoint.idents()) == ("evt-4" not in out)
+        assert len(endpoint.idents()) == len(set(endpoint.idents()))
+        assert node.stop(signal.SIGKILL) == -9 and b"half a record" not in node.ledger().read_bytes()
+
+
+def test_a_decision_outlasts_the_process_until_its_notice_is_answered(tmp_path):
+    endpoint = Endpoint(500, 200)
+    with Program(tmp_path, endpoint) as node:
+        node.discovery.refusing = 10 ** 6
+        assert node.hand_in("once") == 202
+        until(lambda: b"given_up" in node.ledger().read_bytes())
+        node.stop(signal.SIGKILL)
+        node.discovery.refusing = 0
+        node.start()
+        until(lambda: node.notices() == {"evt-1": "given_up"})
+        assert len(endpoint.calls) == 1
+
+
+def test_a_full_disk_share_refuses_early_and_recovers(tmp_path):
+    endpoint = Endpoint(None)
+    with Program(tmp_path, endpoint, limits={"disk_mb": 0.2}) as node:
+        said = [node.hand_in("notice", bytes(9000), left="4000m") for _ in range(12)]
+        assert said == [202] * said.count(202) + [503] * said.count(503) and 3 < said.count(202) < 12
+        endpoint.script[:] = [200]
+        for _ in range(60):
+            node.hand_in("notice", bytes(9000))
+            used = sum((os.path.getsize(path) + 511) // 512 * 512 for path in node.state.iterdir())
+            assert used < 200_000
+            time.sleep(0.03)
+        until(lambda: node.hand_in("notice", bytes(9000)) == 202)
+        assert node.stop() == 0
+
+
+def test_room_is_bounded_and_a_hand_in_repeated_is_one_event(tmp_path):
+    endpoint = Endpoint(None)
+    with Program(tmp_path, endpoint, Permissions={"MaxOpen": 4}) as node:
+        assert [node.hand_in("once", ident="same") for _ in range(3)] == [202] * 3
+        assert [node.hand_in("once") for _ in range(4)] == [202] * 3 + [503]
+        assert endpoint.idents().count("same") <= 1
+
+
+def test_clients_beyond_the_sockets_are_answered_and_none_is_kept(tmp_path):
+    endpoint = Endpoint()
+    with Program(tmp_path, endpoint, limits={"sockets": 96}) as node:
+        conns = [node.open() for _ in range(150)]
+        time.sleep(0.3)
+        assert node.hand_in() == 202
+        assert len(os.listdir(f"/proc/{node.process.pid}/fd")) < 96
+        for conn in conns:
+            conn.close()
+        until(lambda: endpoint.calls)
+
+
+@pytest.mark.parametrize("data, status", [
+    (b"nonsense\r\n\r\n", 400),
+    (b"POST /notice HTTP/1.1\r\nHost: n\r\nX: " + b"y" * 40000, 431),
+    (b"POST /notice HTTP/1.1\r\nHost: n\r\nContent-Length: 70000\r\n\r\n" + bytes(66000), 413),
+    (b"POST /notice HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n", 400),
+    (b"GET /elsewhere HTTP/1.1\r\nHost: n\r\n\r\n", 404),
+])
+def test_malformed_requests_get_a_plain_answer(served, data, status):
+    assert int(served.raw(data).split()[1]) == status
+    assert served.hand_in() == 202
+
+
+@pytest.mark.parametrize("change, status", [
+    ({"X-Remaining": "soon"}, 400), ({"X-Remaining": None}, 400), ({"X-Txn": ""}, 400), ({"X-Txn": "a b"}, 400),
+    ({"X-Route-To": "dest=seven"}, 400), ({"X-Lane": "other"}, 400), ({"Idempotency-Key": "k" * 201}, 400),
+    ({"X-Remaining": "-5m"}, 400)])
+def test_headers_that_cannot_be_used_are_refused_for_good(served, change, status):
+    assert served.hand_in(body=b"of no use", **change) == status
+    assert b"of no use" not in served.ledger().read_bytes()
+
+
+@pytest.fixture(scope="module")
+def served(tmp_path_factory):
+    with Program(tmp_path_factory.mktemp("served"), Endpoint()) as node:
+        yield node
+
+
+def test_half_a_request_and_a_client_that_is_gone_leave_no_trace(served):
+    for part in (1, 40, -1):
+        with served.open() as conn:
+            conn.sendall(served.bytes_of(body=b"half of it")[:part])
+    time.sleep(0.1)
+    assert served.hand_in() == 202 and b"half of" not in served.ledger().read_bytes()
+
+
+def test_an_unknown_destination_is_held_and_ended(served):
+    assert served.hand_in(dest=99, left="300m", ident="lost-one") == 202
+    until(lambda: served.notices().get("lost-one") == "handed_back")
+
+
+def test_several_requests_on_one_connection(served):
+    with served.open() as conn:
+        for _ in range(3):
+            conn.sendall(served.bytes_of())
+            assert conn.recv(999).startswith(b"HTTP/1.1 202")
+
+
+@pytest.mark.parametrize("text, said", [
+    (None, "cannot be read"), ("{", "is no JSON"), ("[]", "cannot be read"), ('{"name": "n"}', "lacks"),
+    ('{"name": "n", "listen": "x", "discovery": "y:1"}', "no address")])
+def test_a_bad_configuration_is_one_plain_line_and_code_2(tmp_path, text, said):
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run([sys.executable, "-m", "swiftthread"], env=os.environ | {"LB_CONFIG": str(path)},
+                          capture_output=True, timeout=20, text=True)
+    assert done.returncode == 2 and said in done.stderr and done.stderr.count("\n") == 1
