--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,6 +1,7 @@
 """The node as a program: started, spoken to over sockets, killed and started again."""
 import json
 import os
+import random
 import resource
 import signal
 import socket
@@ -240,6 +241,38 @@
         assert node.stop(signal.SIGKILL) == -9 and b"half a record" not in node.ledger().read_bytes()
 
 
+def test_kills_under_traffic_leave_each_event_with_an_end_and_no_effect_twice(tmp_path):
+    chance, calls = random.Random(5), []        # (id, what it got: 200, 503, 500 or a reset)
+
+    def answer(method, _target, headers, _body):
+        if method == "GET":
+            return 200, [], b""
+        said = chance.choice([200, 200, 200, 503, 500, "reset"])
+        calls.append((headers["x-txn"], said))
+        time.sleep(chance.choice([0.0, 0.05, 0.3]))
+        return (said, [], b"") if isinstance(said, int) else said
+    endpoint = Endpoint()
+    endpoint.answer = answer
+    with Program(tmp_path, endpoint) as node:
+        taken = {}
+        for life in range(4):
+            if life:
+                node.stop(signal.SIGKILL if life < 3 else signal.SIGTERM)
+                node.start()
+            for _ in range(15):
+                ident, stream = f"evt-{len(taken)}", chance.choice(["notice", "posting", "once"])
+                assert node.hand_in(stream, ident=ident, left="5000m", **{"Idempotency-Key": ident}) == 202
+                taken[ident] = stream
+                time.sleep(0.02)
+        until(lambda: not set(taken) - set(node.notices()) - {ident for ident, said in calls if said == 200}, 10.0)
+        until(lambda: all(b'E["%s"]' % ident.encode() in node.ledger().read_bytes() or
+                          node.ledger().read_bytes().count(ident.encode()) == 0 for ident in taken))
+    for ident in [ident for ident, stream in taken.items() if stream == "once"]:
+        said = [said for called, said in calls if called == ident]
+        assert all(earlier == 503 for earlier in said[:-1]), said
+        assert node.notices().get(ident) != "handed_back" or set(said) <= {503}
+
+
 def test_a_decision_outlasts_the_process_until_its_notice_is_answered(tmp_path):
     endpoint = Endpoint(500, 200)
     with Program(tmp_path, endpoint) as node:
