A stopping node waits for the last client connection; example tried from a fresh clone

Tried as a newcomer in a fresh clone: build, toy server, node, hand-ins, failing endpoints, a kill and a restart as README says. Stop: the exit no longer comes while a client's request is half written (service/start.py).

--- a/swiftthread/service/start.py
+++ b/swiftthread/service/start.py
@@ -79,6 +79,6 @@
         spent = clock() - begun
         node.turns.sending = spent < bounds.SENDING_MS
         idle = not ledger.held if node.turns.sending else not node.module.out
-        if idle and spent > bounds.ANSWERING_MS:
+        if idle and not door.lines and spent > bounds.ANSWERING_MS:
             break
     logger.info("stopped; {} events are left in the log", len(ledger.held))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -398,7 +398,8 @@
 
 
 @pytest.mark.parametrize("text, said", [
-    (None, "cannot be read"), ("{", "is no JSON"), ("[]", "cannot be read"), ('{"name": "n"}', "lacks"),
+    (None, "cannot be read"), (json.dumps({"name": "n", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "seed": "7",
+                                           "state": "/nowhere", "settings": {}}), "No such file"), ("{", "is no JSON"), ("[]", "cannot be read"), ('{"name": "n"}', "lacks"),
     ('{"name": "n", "listen": "x", "discovery": "y:1"}', "no address")])
 def test_a_bad_configuration_is_one_plain_line_and_code_2(tmp_path, text, said):
     path = tmp_path / "config.json"
