--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -25,13 +25,8 @@
         if held.ident in self.ledger.held:
             return 202, None        # the same hand-in, sent once more by its client
         full = len(self.ledger.held) >= self.room or self.held_bytes + len(held.body) > self.limits.held_bytes
-        if self.stopping or full or not self.ledger.room_for(len(held.body)):
-            return 503, None
         held.ends_at = min(held.ends_at, self.wall() + self.max_ages[self.streams[held.stream]])
-        try:
-            self.ledger.taken(held)
-        except OSError as fault:
-            logger.error("the log cannot take an event: {}", fault.strerror)
+        if self.stopping or full or not self.ledger.taken(held):
             return 503, None
         self.begin(held)
         return 202, lambda: self.tasks.start_soon(self.life, held)
--- a/swiftthread/store/ledger.py
+++ b/swiftthread/store/ledger.py
@@ -3,7 +3,6 @@
 One file of records, each with a checksum. What the kernel has taken outlasts the process, so nothing is
 synced. The file is written anew, live events only, when it would pass its part of the disk.
 """
-import errno
 import json
 import os
 import struct
@@ -15,7 +14,7 @@
 TAKEN, STATE, SENT, NEVER_RAN, DECIDED, ENDED = b"T", b"S", b"O", b"N", b"D", b"E"
 FILE_SHARE = 0.45       # of the disk: the old file and the new one lie there together while it is rewritten
 LIVE_SHARE = 0.35       # of the disk: what events held may need, so that a rewritten file has room to grow
-RESERVE = 384           # bytes an event may need beside its own record: its state, a send, its decision
+RESERVE = 100           # bytes beside the id of each record that an event may need later: state, send, decision
 NAME, NEW_NAME = "ledger", "ledger.new"
 
 
@@ -25,7 +24,7 @@
     def __init__(self, ident, key, stream, dest, ends_at, tenant, subject, body):
         self.ident, self.key, self.stream, self.dest, self.ends_at = ident, key, stream, dest, ends_at
         self.tenant, self.subject, self.body = tenant, subject, body
-        self.sends, self.out, self.maybe, self.decision, self.evt = 0, None, None, None, None
+        self.sends, self.out, self.maybe, self.decision, self.evt, self.cost = 0, None, None, None, None, 0
 
     def record(self):
         head = json.dumps([self.ident, self.key, self.stream, self.dest, self.ends_at, self.tenant,
@@ -85,7 +84,7 @@
         if kind == TAKEN:
             size, = struct.unpack_from("<I", payload)
             held = Held(*json.loads(payload[4:4 + size]), payload[4 + size:])
-            self._hold(held)
+            self._hold(held, HEAD.size + len(payload))
             return
         ident, *rest = json.loads(payload)
         held = self.held.get(ident)
@@ -102,16 +101,13 @@
         elif kind == ENDED:
             self._drop(held)
 
-    def _cost(self, held):
-        return HEAD.size + 256 + len(held.body) + RESERVE
-
-    def _hold(self, held):
-        self.held[held.ident] = held
-        self.live += self._cost(held)
+    def _hold(self, held, size):
+        self.held[held.ident], held.cost = held, size + 3 * (len(held.ident) + RESERVE)
+        self.live += held.cost
 
     def _drop(self, held):
         if self.held.pop(held.ident, None) is not None:
-            self.live -= self._cost(held)
+            self.live -= held.cost
 
     def _append(self, data):
         if self.size + len(data) > self.most:
@@ -164,16 +160,18 @@
 
     # what the node tells it
 
-    def room_for(self, body_size):
-        return self.live + HEAD.size + 256 + body_size + RESERVE <= self.most_live
-
     def taken(self, held):
-        """OSError when the log cannot take it; then it is not held."""
+        """False when the log has no room for the event or cannot take it; then it is not held."""
         data = held.record()
-        if len(data) > self._cost(held) - RESERVE:
-            raise OSError(errno.EFBIG, "ids and headers of this event are too long")
-        self._append(data)
-        self._hold(held)
+        if self.live + len(data) + 3 * (len(held.ident) + RESERVE) > self.most_live:
+            return False
+        try:
+            self._append(data)
+        except OSError as fault:
+            logger.error("the log cannot take an event: {}", fault.strerror)
+            return False
+        self._hold(held, len(data))
+        return True
 
     def sent(self, held, zone):
         """Before a send's first byte; False when it must not go, for the log cannot take it."""
--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -104,6 +104,9 @@
         request, body = None, bytearray()
         with anyio.move_on_after(self.idle / 1000.0) as patience:
             while True:
+                if self.lines.get(line) and line.parser.trailing_data[0]:
+                    self.lines[line] = False        # it has begun
+                    patience.deadline = anyio.current_time() + self.request / 1000.0
                 try:
                     part = line.parser.next_event()
                 except h11.RemoteProtocolError as fault:
@@ -112,9 +115,6 @@
                     if line.parser.they_are_waiting_for_100_continue:
                         await line.write(line.parser.send(h11.InformationalResponse(status_code=100, headers=[])))
                     await line.read()
-                    if self.lines.get(line):
-                        self.lines[line] = False
-                        patience.deadline = anyio.current_time() + self.request / 1000.0
                 elif isinstance(part, h11.Request):
                     request = part
                 elif isinstance(part, h11.Data):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -390,6 +390,11 @@
     until(lambda: served.notices().get("lost-one") == "handed_back")
 
 
+def test_the_longest_ids_are_held_and_delivered(served):
+    assert served.hand_in("posting", bytes(65536), ident="i" * 200, **{"Idempotency-Key": "k" * 200}) == 202
+    until(lambda: b'E["%s"]' % (b"i" * 200) in served.ledger().read_bytes())
+
+
 def test_several_requests_on_one_connection(served):
     with served.open() as conn:
         for _ in range(3):
