--- a/swiftthread/service/limits.py
+++ b/swiftthread/service/limits.py
@@ -10,7 +10,6 @@
 ANSWERING_MS = 600.0        # after SIGTERM: new connections come for 0.4 s and are answered
 SENDING_MS = 2000.0         # after SIGTERM: sends go on; what is out after it still gets its time until the end
 STOP_MS = 3200.0            # after SIGTERM: the end, half a second before the SIGKILL
-CALL_GONE_MS = 1.0          # least time-out of a call, so that a spent one still ends as timed out
 
 RESERVED_SOCKETS = 32       # the loop's own, log, listener, discovery, notices, and some for accepts to be refused
 IDLE_SHARE = 0.25           # of the sockets: idle connections to endpoints
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 """What the tests share: scripts played to one instance, and stand-ins round a program that is started.
 
-`Run` keeps a printed trace of decisions. A trace lives in tests/traces/ and is read by people. After a wanted change of behaviour, run the tests
-with WRITE_TRACES=1 once, then read the difference before it is committed.
+`Run` keeps a printed trace of decisions. A trace lives in tests/traces/ and is read by people. After a wanted change
+of behaviour, run the tests with WRITE_TRACES=1 once, then read the difference before it is committed.
 """
 import heapq
 import json
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,14 +4,13 @@
 import random
 import resource
 import signal
-import socket
 import subprocess
 import sys
 import time
 
 import pytest
 
-from helpers import Endpoint, Program, Speaker, lane, until
+from helpers import Endpoint, Program, until
 
 REFUSED = (429, [("Retry-After", "0.6")], b"")
 
@@ -403,9 +402,10 @@
 
 
 @pytest.mark.parametrize("text, said", [
-    (None, "cannot be read"), (json.dumps({"name": "n", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "seed": "7",
-                                           "state": "/nowhere", "settings": {}}), "No such file"), ("{", "is no JSON"), ("[]", "cannot be read"), ('{"name": "n"}', "lacks"),
-    ('{"name": "n", "listen": "x", "discovery": "y:1"}', "no address")])
+    (None, "cannot be read"), ("{", "is no JSON"), ("[]", "cannot be read"), ('{"name": "n"}', "lacks"),
+    ('{"name": "n", "listen": "x", "discovery": "y:1"}', "no address"),
+    (json.dumps({"name": "n", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "seed": "7", "state": "/nowhere",
+                 "settings": {}}), "No such file")])
 def test_a_bad_configuration_is_one_plain_line_and_code_2(tmp_path, text, said):
     path = tmp_path / "config.json"
     if text is not None:
