--- a/swiftthread/lab/cli.py
+++ b/swiftthread/lab/cli.py
@@ -123,11 +123,18 @@
         raise Unusable(f"--node {node}: is none of {', '.join(KINDS)} and no exec:COMMAND")
     folder = into or Path(tempfile.mkdtemp(prefix="lab-"))
 
+    live = sys.stderr.isatty()
+
     def progress(text):
-        click.echo(f"\r{text:40}", err=True, nl=False)
-    with builds.tree_of(rev) as tree:
-        result = carried_out(Run(script, script.seed if seed is None else seed, node, folder, tree).make, progress)
-    click.echo("\r" + " " * 40 + "\r", err=True, nl=False)
+        if live:
+            click.echo(f"\r{text:40}", err=True, nl=False)
+
+    async def play():
+        with builds.tree_of(rev) as tree:
+            return await Run(script, script.seed if seed is None else seed, node, folder, tree).make(progress)
+    result = carried_out(play)
+    progress("")
+    progress("\r")
     for line in told_of(result):
         click.echo(line)
     if report:
--- a/swiftthread/lab/emulator.py
+++ b/swiftthread/lab/emulator.py
@@ -21,7 +21,7 @@
 from swiftthread.lab import model, records
 
 STATUS = {model.DONE: 200, model.ERROR: 500, model.FULL: 429, model.SHUT: 503}
-REASON = {200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 429: "Too Many Requests",
+REASON = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found", 429: "Too Many Requests",
           500: "Internal Server Error", 503: "Service Unavailable"}
 LAG_EVERY_MS = 10.0     # ms between two looks at the loop's own lag
 WATCH_LINE_S = 2.0      # s between empty lines on a watch, the protocol's
@@ -68,6 +68,8 @@
         self.began = self.began or clock()
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            raise               # ours: it must be seen, the run is worth nothing
         except httptools.HttpParserError:
             self.transport.close()
 
--- a/swiftthread/lab/referee.py
+++ b/swiftthread/lab/referee.py
@@ -17,7 +17,6 @@
 RACE_MS = 50.0          # ms for which an answer and its caller's close may cross
 RIDER = 0.05            # load of one more event in a call
 SLACK_CALLS, SLACK_SIGMA = 3.0, 3.0     # chance that a fall budget leaves room for, as calls and x their square root
-FALL_STEP_MS = 100.0    # ms between two windows that are weighed
 
 
 class Breach(NamedTuple):
@@ -207,16 +206,18 @@
             end = turn.at + rules.warm_up_ms
             next_out = min([row.at for row in turns if row.at > turn.at and row.what == "out"], default=math.inf)
             loads = [(at, load) for at, load in case.loads[dest] if turn.at <= at <= min(end, next_out)]
-            at = turn.at + FALL_STEP_MS
-            while at <= min(end, next_out, case.until):
+            first, seen = 0, 0.0
+            for at, load in loads:
+                seen += load
+                while loads[first][0] < at - rules.fall_ms:
+                    seen -= loads[first][1]
+                    first += 1
                 warmth = rules.cold_from + (1 - rules.cold_from) * (at - turn.at) / rules.warm_up_ms
                 budget = rules.fall_multiple * turn.capacity * warmth * rules.fall_ms
-                seen = sum(load for moment, load in loads if at - rules.fall_ms < moment <= at)
                 if seen > budget + SLACK_CALLS + SLACK_SIGMA * math.sqrt(budget):
                     yield Breach("fall budget", at, f"destination {dest}: load {seen:.1f} in {rules.fall_ms:.0f} ms, "
                                  f"budget {budget:.1f}, {at - turn.at:.0f} ms after its return")
                     break
-                at += FALL_STEP_MS
 
 
 def order(case):
--- a/swiftthread/lab/report.py
+++ b/swiftthread/lab/report.py
@@ -109,7 +109,8 @@
     def pace(axes):
         for dest in list(limits)[:4]:
             calls = by_second([(send.at, 1) for send in case.calls.values() if send.dest == dest], t0)
-            line, = axes.plot(list(calls), [len(values) for values in calls.values()], marker=".",
+            seconds = range(int(end))
+            line, = axes.plot(seconds, [len(calls.get(second, ())) for second in seconds], marker=".",
                               label=f"destination {dest}")
             if limits[dest]:
                 axes.axhline(limits[dest], color=line.get_color(), ls=":", lw=1)
--- /dev/null
+++ b/tests/lab/test_scripts.py
@@ -0,0 +1,120 @@
+"""Scripts: the shipped ones can be used; what is wrong is said in one line with file and key."""
+import subprocess
+import sys
+
+import msgspec
+import pytest
+
+from swiftthread.lab import experiment, load, scripts
+from swiftthread.terms import terms_of
+
+GOOD = """
+format = 1
+title = "t"
+sees = "s"
+[[stream]]
+name = "a"
+[[destination]]
+number = 1
+"""
+
+
+def lab(*words, **more):
+    return subprocess.run([sys.executable, "-m", "swiftthread.lab", *words], capture_output=True, text=True, timeout=60,
+                          check=False, **more)
+
+
+@pytest.mark.parametrize("name", scripts.shipped_names())
+def test_shipped_scripts_say_what_to_see_and_suit_a_node(name):
+    script = scripts.load(name)
+    assert len(script.sees) > 60 and script.drain_s * 1000.0 > max(s.max_age_ms for s in script.stream)
+    terms, _ = terms_of(scripts.settings_of(script, 0))
+    assert len(terms["streams"]) == len(script.stream)
+
+
+def test_there_are_twelve_at_least():
+    assert len(scripts.shipped_names()) >= 12
+
+
+@pytest.mark.parametrize("more, said", [
+    ("[load]\nratee = 3", "key load.ratee: object contains unknown field"),
+    ("[load]\nrate_per_s = 'x'", "key load.rate_per_s: expected `float`, got `str`"),
+    ("[load]\nrate_per_s = 0", "key load.rate_per_s: expected `float` > 0"),
+    ("[fleet]\nnodes = 0", "key fleet.nodes: expected `int` >= 1"),
+    ("[[step]]\nat_ms = 5\nwhat = 'heal'\non = 'dest:1'\n[[step]]\nat_ms = 4\nwhat = 'heal'\non = 'dest:1'",
+     "key step[1].at_ms: 4 lies before the step above (5)"),
+    ("[[step]]\nat_ms = 5\nwhat = 'heal'\non = 'dest:2'", "key step[0].on: 'dest:2' names no endpoint"),
+    ("[[step]]\nat_ms = 5\nwhat = 'kill'\non = 'node:1'", "key step[0].on: 'node:1' is no node"),
+    ("[[step]]\nat_ms = 5\nwhat = 'explode'", "key step[0].what: 'explode' is none of"),
+    ("[[step]]\nat_ms = 5\nwhat = 'pause'\non = 'all'", "key step[0].for_ms: pause needs one"),
+    ("[[step]]\nat_ms = 50000\nwhat = 'heal'\non = 'all'", "key step[0].at_ms: it ends after lasts_s"),
+    ("[[stream]]\nname = 'd'\neffect = 'deduplicated'", "key stream[1].window_ms"),
+    ("[[destination]]\nnumber = 1", "key destination.number: a number is given twice"),
+    ("lasts_s = [", "no TOML"),
+])
+def test_faults_name_the_key(more, said, tmp_path):
+    path = tmp_path / "bad.toml"
+    path.write_text(GOOD + more if not more.startswith("lasts_s") else more)
+    with pytest.raises(scripts.Faulty) as fault:
+        scripts.load(str(path))
+    assert f"{path}: {said}" in str(fault.value)
+
+
+def test_all_faults_of_all_files_at_once(tmp_path):
+    one, two = tmp_path / "one.toml", tmp_path / "two.toml"
+    one.write_text(GOOD + "[[step]]\nat_ms = 5\nwhat = 'x'\n[[step]]\nat_ms = 4\nwhat = 'y'")
+    two.write_text("format = 2")
+    done = lab("check", str(one), str(two))
+    assert done.returncode == 2 and "Traceback" not in done.stderr
+    assert [word in done.stderr for word in ("step[0].what", "step[1].what", "step[1].at_ms", "two.toml: key format")] \
+        == [True] * 4
+
+
+@pytest.mark.parametrize("words, said", [
+    (("run", "no-such"), "no-such: no such file"), (("run", "calm", "--node", "other"), "--node other: is none of"),
+    (("run", "calm", "--rev", "nowhere"), "nowhere: no such revision"), (("compare", "nowhere", "calm"), "nowhere: no such")])
+def test_bad_words_end_with_2_and_one_line(words, said, tmp_path):
+    done = lab(*words, *(("--into", str(tmp_path / "r"))))
+    assert done.returncode == 2 and said in done.stderr and "Traceback" not in done.stderr
+
+
+def test_a_node_that_does_not_start_is_one_line_and_nothing_is_left(tmp_path):
+    done = lab("run", "calm", "--node", "exec:/bin/false", "--into", str(tmp_path / "r"))
+    assert done.returncode == 2 and "node n" in done.stderr and "ended with 1" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
+def test_arrivals_are_of_the_seed_and_follow_the_bursts():
+    script = scripts.load("crowd")
+    rows = load.schedule(script, 5)
+    assert [(at, event.origin, event.dest) for at, event in rows] == [
+        (at, event.origin, event.dest) for at, event in load.schedule(script, 5)]
+    inside = sum(4000.0 <= at < 8000.0 for at, _ in rows) / 4.0
+    outside = sum(at < 4000.0 for at, _ in rows) / 4.0
+    assert inside == pytest.approx(270.0, rel=0.12) and outside == pytest.approx(90.0, rel=0.15)
+
+
+def test_skew_crowds_the_first_destinations():
+    base = scripts.load("crowd")
+    skewed = msgspec.structs.replace(base, load=msgspec.structs.replace(base.load, skew=1.5))
+    first = [sum(event.dest == 1 for _, event in load.schedule(script, 1)) for script in (base, skewed)]
+    assert first[1] > 1.8 * first[0]
+
+
+def rows_of(name, before, after):
+    return [{"name": name, "load": 1.0, "seed": seed, "rev": rev, "node": "swiftthread", "measure": value, "void": "",
+             "breaches": []} for rev, values in (("a", before), ("b", after)) for seed, value in enumerate(values)]
+
+
+@pytest.mark.parametrize("after, said", [
+    ([0.7, 0.71, 0.72, 0.69, 0.7, 0.71], "more than chance"), ([0.6, 0.5, 0.58, 0.62, 0.55, 0.57], "no more than chance")])
+def test_what_is_more_than_chance(after, said):
+    lines = list(experiment.compared(rows_of("x", [0.55, 0.56, 0.57, 0.58, 0.59, 0.54], after), "a", "b"))
+    assert f"over 6 pairs: {said}" in lines[0]
+
+
+def test_few_pairs_are_not_judged_and_void_runs_are_left_out():
+    rows = rows_of("x", [0.5, 0.5, 0.5], [0.9, 0.9, 0.9])
+    assert "too few" in next(experiment.compared(rows, "a", "b"))
+    rows[0]["void"] = "lag"
+    assert "over 2 pairs" in next(experiment.compared(rows, "a", "b"))
