--- a/swiftthread/lab/emulator.py
+++ b/swiftthread/lab/emulator.py
@@ -350,6 +350,7 @@
             endpoint = self.world.add(model.Endpoint(name, dest, hall, table.workers, table.queue, table.connections,
                                                      service, table.service_ms))
             self.doors[name] = Door(self, endpoint)
+            endpoint.gone = spare
             if not spare:
                 self.doors[name].open()
         rates = {number: table.rate_per_s if table.listed else 0.0 for _, number, table, _, _ in script.endpoints()}
@@ -492,32 +493,32 @@
     def do(self, now, what, names, step):
         """One thing happens to these endpoints, in the model and at their sockets."""
         endpoints, doors = [self.world.endpoints[n] for n in names], [self.doors[n] for n in names]
-        alive = {endpoint.dest: not all(e.out() for e in endpoint.dest.endpoints) for endpoint in endpoints}
+        alive = {endpoint.dest: not endpoint.dest.out() for endpoint in endpoints}
+        drained = [door for door in doors if door.endpoint.draining]
         if what in AT_SOCKETS:
             for door in doors:
                 door.mood[what] = step.share
             return
-        if what == "join":
-            for door in doors:
-                door.open()
-            self._list(doors, "SERVING")
-            return
         self._said(self.world.apply(now, what, endpoints, step.share, step.wait_ms, step.factor, step.for_ms))
         for door in doors:
             if what == "refuse":
                 door.refuse()
             elif what == "vanish":
                 door.vanish()
+            elif what == "join":
+                door.open()
             elif what == "heal":
                 door.mood.clear()
                 door.vanish_ends()
                 door.open()
         if what in ("drain", "gone"):
             self._list(doors, "DRAINING" if what == "drain" else "DELETED")
-        elif what == "heal" and any(door.endpoint.name not in self.agents[0].entries for door in doors):
+        elif what == "join":
             self._list(doors, "SERVING")
+        elif what == "heal" and drained:
+            self._list(drained, "SERVING")
         for dest, was in alive.items():
-            if was and all(e.out() for e in dest.endpoints):
+            if was and dest.out():
                 self.book.write(records.Turned(now, dest.number, "out", dest.capacity()))
         self._set_timer()
 
--- a/swiftthread/lab/model.py
+++ b/swiftthread/lab/model.py
@@ -96,7 +96,10 @@
         """Calls per ms that it can do when warm."""
         if self.limit.rate:
             return self.limit.rate
-        return sum(e.workers / e.mean_ms for e in self.endpoints)
+        return sum(e.workers / e.mean_ms for e in self.endpoints if not e.gone)
+
+    def out(self):
+        return all(endpoint.out() or endpoint.gone for endpoint in self.endpoints)
 
     def pushed_over(self, now, load):
         """Count a call, refused or not; whether the destination falls by it (once)."""
@@ -261,8 +264,8 @@
                 self._pause(now, endpoint, now + for_ms)
             elif what == "drain":
                 endpoint.draining = True
-            elif what == "gone":
-                endpoint.gone = True
+            elif what in ("gone", "join"):
+                endpoint.gone = what == "gone"
             elif what == "heal":
                 self._heal(now, endpoint)
         return answers
@@ -278,11 +281,11 @@
         # Ends lie in the heap under their old moments and move when those pass: none is early, for all are later.
 
     def _heal(self, now, endpoint):
-        dest, was_out = endpoint.dest, endpoint.out()
+        dest, was_out = endpoint.dest, endpoint.dest.out()
         endpoint.down = endpoint.silent = endpoint.draining = False
         endpoint.fails, endpoint.full, endpoint.slow = {}, 0.0, 1.0
         dest.shut_until, dest.fallen, dest.limit.rate = min(dest.shut_until, now), False, dest.limit.told
-        if was_out and all(e.out() or e.gone for e in dest.endpoints if e is not endpoint):
+        if was_out and not dest.out():
             dest.back_at = now
             dest.loads.clear()
             self.log(now, "back", dest.number)
