--- a/swiftthread/lab/cli.py
+++ b/swiftthread/lab/cli.py
@@ -69,10 +69,7 @@
 def carried_out(work, *args):
     """Run it with Ctrl-C and SIGTERM both as an orderly end of everything that was started."""
     from swiftthread.lab.runner import Trouble
-
-    def stop(*_):
-        raise KeyboardInterrupt
-    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))     # the loop turns that into a cancel
     try:
         return anyio.run(work, *args)
     except* Trouble as faults:
