--- a/swiftthread/lab/floor.py
+++ b/swiftthread/lab/floor.py
@@ -15,11 +15,7 @@
     """One connection and its h11 parser; whole messages go to `got`."""
 
     def __init__(self, role):
-        self.role = role
-        self._fresh()
-
-    def _fresh(self):
-        self.parser, self.head, self.body = h11.Connection(self.role), None, bytearray()
+        self.parser, self.head, self.body = h11.Connection(role), None, bytearray()
 
     def connection_made(self, transport):
         self.transport = transport
@@ -35,9 +31,14 @@
             elif isinstance(part, h11.Data):
                 self.body += part.data
             elif isinstance(part, h11.EndOfMessage):
-                self.got(self.head, bytes(self.body))
-                if self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE:
-                    self.parser.start_next_cycle()
+                head, body = self.head, bytes(self.body)
+                self._next()            # an answer's connection is free before it is asked for
+                self.got(head, body)
+                self._next()
+
+    def _next(self):
+        if self.parser.our_state is h11.DONE and self.parser.their_state is h11.DONE:
+            self.parser.start_next_cycle()
 
     def say(self, *parts):
         self.transport.write(b"".join(self.parser.send(part) for part in parts))
