A call whose connect took long does not go into a wait told meanwhile

A send is decided, then its connection comes up; when that takes longer than the slack, a wait told by another call in between was not looked at. Change: the module is asked once more before the first byte (may_leave); the call ends as not sent, and its slot goes back.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -255,6 +255,10 @@
             return Later()
         return self._send(evt, sink, joins, now)
 
+    def may_leave(self, sink, now):
+        """Whether a call decided before may still go: its connection can have taken so long that a wait was told."""
+        return now >= sink.key.blocked
+
     def after(self, evt, outcome, now, latency, told=0.0, over=False, report=None):
         """What an outcome means for its event: None when it is over, else Later, Decline or Discard."""
         call, sink, evt.call, evt.sink = evt.call, evt.sink, None, None
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -4,6 +4,7 @@
 import math
 
 import anyio
+import h11
 from loguru import logger
 
 from swiftthread import plain
@@ -42,8 +43,8 @@
 class Courier:
     """Owner of connections while a call is on them; idle ones are the store's."""
 
-    def __init__(self, tasks, lines, buffers, clock, addresses, limits, report_names):
-        self.tasks, self.lines, self.buffers, self.clock = tasks, lines, buffers, clock
+    def __init__(self, tasks, lines, buffers, clock, addresses, limits, report_names, may_leave):
+        self.tasks, self.lines, self.buffers, self.clock, self.may_leave = tasks, lines, buffers, clock, may_leave
         self.addresses, self.limits, self.report_names = addresses, limits, report_names
         self.letters = {}       # call -> letter; emptied each turn, when they leave
 
@@ -73,8 +74,11 @@
         try:
             with anyio.move_on_after(max(0.0, until - started) / 1000.0) as patience:
                 line = await self._line(place)
-                outcome = plain.TIMEOUT
-                await exchange(line, "POST", *self._written(letter, until), answer, patience)
+                if self.may_leave(letter.sink, self.clock()):
+                    outcome = plain.TIMEOUT
+                    await exchange(line, "POST", *self._written(letter, until), answer, patience)
+                else:
+                    outcome = plain.UNSENT
             # A node that stood still may find its answer beside the timer that ran out.
             while line and not answer.whole and line.read_now():
                 answer.absorb(line)
@@ -95,7 +99,7 @@
 
     def _back(self, place, line, answer):
         """The one place where a connection that was out for a call is kept or closed."""
-        if line is not None and answer.keeps(line):
+        if line is not None and (answer.keeps(line) or line.parser.our_state is h11.IDLE):
             self.lines.give(place, line)
         elif line is not None:
             line.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,6 +4,7 @@
 import random
 import resource
 import signal
+import socket
 import subprocess
 import sys
 import threading
@@ -12,6 +13,8 @@
 import pytest
 
 from helpers import Discovery, Endpoint, Program, until
+from swiftthread.choice import Sink
+from swiftthread.plain import Destination
 
 REFUSED = (429, [("Retry-After", "0.6")], b"")
 
@@ -610,3 +613,34 @@
     done = subprocess.run([sys.executable, "-m", "swiftthread"], env=os.environ | {"LB_CONFIG": str(path)},
                           capture_output=True, timeout=20, text=True)
     assert done.returncode == 2 and said in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_a_call_whose_connect_takes_long_does_not_go_into_a_wait_told_meanwhile(tmp_path):
+    def order(ident):
+        return Sink(ident, 0, Destination(1), 0).order
+    first, second = sorted(("s-1", "s-2"), key=order)
+    gate = threading.Event()
+
+    class Gated(Endpoint):
+        def _accept(self):
+            gate.wait()
+            super()._accept()
+    answer_now = threading.Event()
+    answers = Endpoint(lambda body: answer_now.wait() and (429, [("Retry-After", "1.8")], b""), 200, ident=first)
+    slow = Gated(ident=second)
+    slow.listener.listen(0)             # its queue is full until it accepts: the next connect comes up a second later
+    fillers = [socket.socket() for _ in range(3)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(slow.listener.getsockname())
+    with Program(tmp_path, answers, slow, Permissions={"ConnectTimeout": 4.0, "Probes": False}) as node:
+        assert [node.hand_in(left="5000m"), node.hand_in(left="5000m")] == [202, 202]
+        until(lambda: b'O["evt-1"' in node.ledger().read_bytes() and b'O["evt-2"' in node.ledger().read_bytes())
+        told_at = time.monotonic()
+        answer_now.set()
+        gate.set()
+        until(lambda: len(answers.calls) + len(slow.calls) == 3)
+        later = [at for at, *_ in answers.calls[1:] + slow.calls]
+        assert all(at >= told_at + 1.8 for at in later)
+    for filler in fillers:
+        filler.close()
