Waiting events queue by what they wait for; latency by the kernel's clock; unlisted rates search

Change: queues.py holds events by destination and by what makes them fare alike, and asks for as few as can move; the kernel says when an answer came; a rise of latency counts from 40 ms on; an unlisted rate grows by a share of itself.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -18,6 +18,7 @@
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
 GROW = 0.08             # x first rate each second: clean growth past the level; slow beside a halving
+SEARCH_MS, SEARCH_MOST = 2000.0, 8.0    # ms since a cut for x1 of its growth, and most; 2 to 2,000/s in 20 s
 MOST_RATE = 1.5         # x listed: no node needs more than all of it, and the list may be somewhat low
 CUT = 0.5               # page: a refusal, an error run or risen latency halves the rate
 LEVEL_KEPT = 0.9        # x level: what a refusal leaves of the level that clean seconds lead back to
@@ -30,6 +31,7 @@
 ALONE_MS = 1000.0       # ms without an ack after which one unanswered or unreached call tells of an outage
 ERROR_RUN = 3           # calls failing in a row, none between: an error run; two can be chance
 WINDOW, RISEN = 24, 2.0  # latencies for a median, at a cv of 1.4; page: risen is over this many times its low
+RISE_MS = 40.0          # ms: a rise by less harms no SLO time; calls that leave together wait for each other
 USUAL_MS = 350.0        # ms: latency assumed before the first was seen
 MOSTLY_BAD = 0.6        # share of failed calls, smoothed, from which a sink counts as failing
 SMOOTH = 0.15           # weight of the newest call in that share; about the last dozen calls
@@ -54,7 +56,7 @@
     """One due moment: a destination, or a route where routes are kept apart."""
 
     def __init__(self, listed, nodes, sure, busy):
-        self.due = self.blocked = self.changed = self.pressed = -math.inf
+        self.due = self.blocked = self.changed = self.cut_at = self.pressed = -math.inf
         self.named = self.even = self.fair = self.listed = None
         self.busy, self.sure = busy, sure                # ms in which nodes share the rate; trust in the list
         if listed:
@@ -95,7 +97,8 @@
         due = self.fair * self.sure if self.even and self.served else LEAST_RATE / 4
         if refused:
             self.level = max(min(self.level, max(self.rate, due)) * LEVEL_KEPT, due)
-        rate, self.rate, self.changed, self.served = self.rate, max(self.rate * CUT, due * CUT), now, False
+        rate, self.rate, self.changed, self.cut_at = self.rate, max(self.rate * CUT, due * CUT), now, now
+        self.served = False
         self.due = max(now, self.due) + 1.0 / self.rate - 1.0 / rate     # what was booked is booked anew
 
     def acked(self, now, latency, slow_everywhere):
@@ -116,7 +119,9 @@
             if now - self.changed >= CLEAN_MS:
                 self.rate, self.changed = min(self.level, self.rate / CUT), now
         elif self.rate is not None and now - self.pressed < CLEAN_MS:
-            step = GROW * self.left * (self.even or LEAST_RATE) / (self.rate * 1000.0)
+            # Nobody knows an unlisted rate: it grows by a share of itself, faster the longer nothing was cut.
+            part = self.even or self.level * min(SEARCH_MOST, (now - self.cut_at) / SEARCH_MS)
+            step = GROW * self.left * part / (self.rate * 1000.0)
             most = MOST_RATE * (self.listed or math.inf)
             self.rate = self.level = max(self.rate, min(self.rate + step, most))
 
@@ -125,7 +130,7 @@
         return self.part * math.exp((self.part_at - now) / USUAL_SPAN_MS)
 
     def risen(self):
-        return self.low is not None and self.usual > RISEN * self.low
+        return self.low is not None and self.usual > max(RISEN * self.low, self.low + RISE_MS)
 
 
 class Sink:
@@ -234,21 +239,49 @@
         self._end(evt)
 
     def in_order(self, events, now):
-        dests = dict.fromkeys(evt.dest for evt in events)
-        spans = {dest: min(self.longest, max(1000.0, self.queue(dest, now))) for dest in dests}
-        return sorted(events, key=lambda evt: (-self._urgency(evt, spans[evt.dest], now), evt.slo_at))
+        spans = {dest: self.span(dest, now) for dest in dict.fromkeys(evt.dest for evt in events)}
+        return sorted(events, key=lambda evt: self.rank(evt, spans[evt.dest], now))
+
+    def span(self, dest, now):
+        """Ms by which the events of a destination are ranked: what its whole queue takes."""
+        return min(self.longest, max(1000.0, self.queue(dest, now)))
+
+    def rank(self, evt, span, now):
+        """Events of lower rank are asked for first."""
+        return -self._urgency(evt, span, now), evt.slo_at
+
+    def turn_at(self, evt, now):
+        """When its subject's turn is this event's: `now`, later, or inf: after those before it."""
+        if not evt.subject:
+            return now
+        line, rest = self.turns[evt.subject]
+        if line[0] is not evt:
+            return math.inf
+        return max(rest, now + 1.0) if rest > now and evt.sends == 0 else now
+
+    def fares_with(self, evt):
+        """Events of one destination for which this is equal are told the same until one is sent."""
+        bound = evt.maybe_at is not None and evt.stream.effect == DEDUPLICATED and evt.stream.group != "all"
+        return evt.stream, evt.maybe_zone if bound else None
+
+    def full(self):
+        return self.out >= self.slots
+
+    def scarce(self):
+        """Whether events may wait for a slot that a send of any destination holds."""
+        return self.out >= SCARCE * self.slots
+
+    def crowded(self):
+        return self.held > self.room
 
     def where(self, evt, now):
         """Send, Later, Decline or Discard."""
-        if self._spent(evt, now) or self.held > self.room and self._longest(evt.dest) and self._harmless(evt):
+        if self._spent(evt, now) or self.held > self.room and self._longest(evt.dest) and self.harmless(evt):
             return self._give_up(evt, now)
-        evt.ask_at, evt.by_outcome = self._last_moment(evt, now), False
-        if evt.subject:
-            line, rest = self.turns[evt.subject]
-            if line[0] is not evt or (rest > now and evt.sends == 0):
-                turn_at = max(rest, now + 1.0) if line[0] is evt else math.inf
-                evt.ask_at, evt.by_outcome = min(evt.ask_at, turn_at), True
-                return Later()
+        evt.ask_at, evt.by_outcome = self.last_moment(evt, now), False
+        if (turn_at := self.turn_at(evt, now)) > now:
+            evt.ask_at, evt.by_outcome = min(evt.ask_at, turn_at), True
+            return Later()
         sink, moment, joins = self._pick(evt, now)
         if sink is None:
             evt.ask_at, evt.by_outcome = min(evt.ask_at, moment), moment == math.inf
@@ -256,7 +289,7 @@
         return self._send(evt, sink, joins, now)
 
     def may_leave(self, sink, now):
-        """Whether a call decided before may still go: its connection can have taken so long that a wait was told."""
+        """Whether a call may still go: while its connection came up a wait can have been told."""
         return now >= sink.key.blocked
 
     def after(self, evt, outcome, now, latency, told=0.0, over=False, report=None):
@@ -500,23 +533,25 @@
     def _longest(self, dest):
         return dest.held * sum(1 for d in self.dests.values() if d.held) > self.held
 
-    def _last_moment(self, evt, now):
+    def last_moment(self, evt, now):
+        """When it is given up at the latest."""
         last = evt.ends_at - self.margin
         if evt.maybe_at is not None and evt.stream.effect == DEDUPLICATED:
             last = min(last, evt.maybe_at + evt.stream.window_ms - self.margin)
         return last
 
     def _spent(self, evt, now):
-        return (now >= self._last_moment(evt, now) or evt.sends >= self.most_sends
+        return (now >= self.last_moment(evt, now) or evt.sends >= self.most_sends
                 or evt.maybe_at is not None and evt.stream.effect == NON_IDEMPOTENT)
 
-    def _harmless(self, evt):
+    def harmless(self, evt):
+        """Whether handing it back can do no harm."""
         anywhere = evt.stream.effect == DEDUPLICATED and evt.stream.group == "all"
         return evt.maybe_at is None or evt.stream.effect == IDEMPOTENT or anywhere
 
     def _give_up(self, evt, now):
         self._end(evt)
-        return Decline(self.come_back(evt.dest, now)) if self._harmless(evt) else Discard()
+        return Decline(self.come_back(evt.dest, now)) if self.harmless(evt) else Discard()
 
     def come_back(self, dest, now):
         """Ms after which a client had best hand in again for a destination (None: unknown); 0: no advice."""
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -66,6 +66,7 @@
             logger.exception("the life of an event failed; it is given up")
             self.module.withdrawn(held.evt, self.clock())
             self.ledger.decided(held, OUTCOMES[plain.Discard], 0.0)
+        self.turns.over(held.evt)
         if held.decision is not None:
             await self.notices.tell(held.ident, *held.decision)
         self.ledger.ended(held)
@@ -73,22 +74,20 @@
 
     async def deliver(self, held):
         """Ask, send, learn, until it is over or a decision is in the log."""
-        evt, wait = held.evt, None
+        evt = held.evt
         while held.decision is None:
-            now = await self.turns.ask(evt, wait)
-            answer = self.module.where(evt, now)
+            now, answer = await self.turns.ask(evt)
             if isinstance(answer, plain.Send):
                 noted = self.ledger.sent(held, answer.sink.zone)
                 end = await self.courier.carry(held, answer) if noted else End(plain.UNSENT, 0.0)
                 now = await self.turns.tell()
                 answer = self.module.after(evt, end.outcome, now, end.latency, end.told, end.over, end.report)
+                self.turns.learnt(evt.dest)
                 if end.outcome in plain.NEVER_RAN:
                     self.ledger.never_ran(held)
                 if end.over:
                     break
-            if isinstance(answer, plain.Later):
-                wait = self.module.wait(evt, now)
-            else:
+            if not isinstance(answer, plain.Later):
                 self.ledger.decided(held, OUTCOMES[type(answer)], getattr(answer, "come_back_ms", 0.0))
 
     def each_turn(self, now):
@@ -103,10 +102,12 @@
         end = await self.courier.probe(sink)
         now = await self.turns.tell()
         self.module.probed(sink.ident, end.outcome, now, end.latency, end.report)
+        self.turns.learnt(sink.dest)
 
     async def listed(self, entries, whole):
         now = await self.turns.tell()
         self.module.listed(entries, whole, now)
+        self.turns.learnt()
 
     async def follow(self, registry):
         """Keep a watch open; when it ends, the module says when to ask again."""
--- a/swiftthread/service/turns.py
+++ b/swiftthread/service/turns.py
@@ -1,29 +1,25 @@
-"""Turns: at most one each few ms, all at one moment: what was heard first, then each event whose time has come.
-
-The decisions are asked as on the drill's wire: outcomes and lists are told before any event is asked for,
-events are asked for in the module's order, and those that wait for an outcome are asked after any.
-"""
-import heapq
+"""When each event is asked for. Which are asked, and in which order: queues.py and the module."""
 import math
-from itertools import count
 
 import anyio
 from anyio.lowlevel import checkpoint
 
+from swiftthread.queues import Queues
+
 
 class Turn:
-    """One wait for a turn."""
-    __slots__ = ("evt", "until", "begun", "now")
+    """One wait for a turn; it comes with its moment and what the module said."""
+    __slots__ = ("begun", "said")
 
-    def __init__(self, evt=None, until=0.0):
-        self.evt, self.until, self.begun, self.now = evt, until, anyio.Event(), 0.0
+    def __init__(self):
+        self.begun, self.said = anyio.Event(), None
 
     async def come(self):
         await self.begun.wait()
-        return self.now
+        return self.said
 
-    def begin(self, now):
-        self.now = now
+    def begin(self, *said):
+        self.said = said
         self.begun.set()
 
 
@@ -31,32 +27,37 @@
     """Owner of the timers of all events."""
 
     def __init__(self, module, clock, gap_ms):
-        self.module, self.clock, self.gap = module, clock, gap_ms
+        self.module, self.clock, self.gap, self.queues = module, clock, gap_ms, Queues(module)
         self.heard = []             # those with something to tell; emptied each turn
-        self.moments = []           # heap of (moment, number, turn); emptied as moments pass
-        self.by_outcome = {}        # turns to begin after any outcome; emptied by the next
-        self.begun_early = 0        # turns of the heap begun by an outcome; they are sorted out when they are many
-        self.number, self.stirred, self.bell, self.sleeps_until = count(), False, anyio.Event(), -math.inf
+        self.asked = {}             # waiting event -> its turn; emptied as they move
+        self.bell, self.sleeps_until = anyio.Event(), -math.inf
         self.sending = True     # set to False by the stop: outcomes are still heard, no event is asked for
 
     async def tell(self):
         """Wait for the beginning of a turn, to tell the module what was learnt; its moment."""
         turn = Turn()
         self.heard.append(turn)
-        self.stirred = True
         self.bell.set()
-        return await turn.come()
+        return (await turn.come())[0]
 
-    async def ask(self, evt, wait=None):
-        """Wait until it is time to ask for this event; the moment."""
-        turn = Turn(evt, wait.until if wait else 0.0)
-        heapq.heappush(self.moments, (turn.until, next(self.number), turn))
-        if wait and wait.or_outcome:
-            self.by_outcome[turn] = True
-        if turn.until < self.sleeps_until:
+    async def ask(self, evt):
+        """Wait until the event moves: (the moment, a send, a decline or a discard)."""
+        turn = self.asked[evt] = Turn()
+        now = self.clock()
+        self.queues.add(evt, now)
+        if self.queues.next_moment() < self.sleeps_until:
             self.bell.set()
         return await turn.come()
 
+    def learnt(self, dest=None):
+        """The module was told of an outcome at a destination, or of a list (None)."""
+        self.queues.stir(dest)
+
+    def over(self, evt):
+        """An event has ended."""
+        self.queues.left(evt)
+        self.asked.pop(evt, None)
+
     async def run(self, once_asked):
         """Give turns until cancelled; `once_asked(now)` acts on what each turn's events were told."""
         while True:
@@ -68,7 +69,7 @@
 
     async def _sleep(self):
         self.bell, now = anyio.Event(), self.clock()
-        until = min(self.moments[0][0] if self.moments else math.inf, self.module.next_moment(now))
+        until = min(self.queues.next_moment(), self.module.next_moment(now))
         if self.heard or until <= now and self.sending:
             return
         self.sleeps_until = until
@@ -84,25 +85,8 @@
             await checkpoint()      # they run up to their next wait
         if not self.sending:
             return
-        ready = {}
-        while self.moments and self.moments[0][0] <= now:
-            turn = heapq.heappop(self.moments)[2]
-            if turn.begun.is_set():
-                self.begun_early -= 1
-            else:
-                ready[turn] = True
-        if self.stirred:
-            self.begun_early += sum(turn not in ready for turn in self.by_outcome)
-            ready.update(self.by_outcome)
-            self.stirred = False
-        turns = {turn.evt: turn for turn in ready}
-        for turn in ready:
-            self.by_outcome.pop(turn, None)
-        for evt in self.module.in_order(list(turns), now):
-            turns[evt].begin(now)
-        if turns:
+        moved = self.queues.turn(now)
+        for evt, answer in moved:
+            self.asked.pop(evt).begin(now, answer)
+        if moved:
             await checkpoint()
-        if self.begun_early > 64 and 2 * self.begun_early > len(self.moments):
-            self.moments = [row for row in self.moments if not row[2].begun.is_set()]
-            heapq.heapify(self.moments)
-            self.begun_early = 0
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -43,8 +43,9 @@
 class Courier:
     """Owner of connections while a call is on them; idle ones are the store's."""
 
-    def __init__(self, tasks, lines, buffers, clock, addresses, limits, report_names, may_leave):
-        self.tasks, self.lines, self.buffers, self.clock, self.may_leave = tasks, lines, buffers, clock, may_leave
+    def __init__(self, tasks, lines, buffers, clock, wall, addresses, limits, report_names, may_leave):
+        self.tasks, self.lines, self.buffers, self.clock, self.wall = tasks, lines, buffers, clock, wall
+        self.may_leave = may_leave
         self.addresses, self.limits, self.report_names = addresses, limits, report_names
         self.letters = {}       # call -> letter; emptied each turn, when they leave
 
@@ -64,7 +65,7 @@
     async def _call(self, letter):
         """One call, from its connection to the end of each event in it."""
         started, answer = self.clock(), Answer()
-        outcome = plain.UNREACHED
+        outcome, written, refused = plain.UNREACHED, None, False
         # An event that may go again elsewhere ends its call with it, so that never two of its sends are out.
         again = [until for until, is_last in letter.sends.values() if not is_last]
         until = min(again) if again else max(until for until, _ in letter.sends.values())
@@ -75,7 +76,7 @@
             with anyio.move_on_after(max(0.0, until - started) / 1000.0) as patience:
                 line = await self._line(place)
                 if self.may_leave(letter.sink, self.clock()):
-                    outcome = plain.TIMEOUT
+                    outcome, line.came_at, written = plain.TIMEOUT, None, (self.clock(), self.wall())
                     await exchange(line, "POST", *self._written(letter, until), answer, patience)
                 else:
                     outcome = plain.UNSENT
@@ -83,7 +84,7 @@
             while line and not answer.whole and line.read_now():
                 answer.absorb(line)
         except Broken as fault:
-            outcome = plain.RESET if fault.written else plain.UNREACHED
+            outcome, refused = plain.RESET if fault.written else plain.UNREACHED, fault.refused
         except Exception:       # guards the other calls: a fault in one is a reset of this one
             logger.exception("a call failed")
             outcome = plain.RESET if line else plain.UNREACHED
@@ -91,7 +92,16 @@
             self._back(place, line, answer)
         if answer.begun and outcome == plain.TIMEOUT:
             outcome = plain.RESET       # it did answer, but not to the end
-        self._read(letter, answer, outcome, self.clock() - started)
+        latency = 0.0 if refused else self.clock() - started
+        if answer.begun or answer.whole:
+            latency = self._latency(line, *written)
+        self._read(letter, answer, outcome, latency)
+
+    def _latency(self, line, at, unix_at):
+        """Ms from our write to the moment at which the kernel had the answer. Guards against our own slowness, which
+        would be taken for the receiver's: what stood in the kernel until we came to read it does not count."""
+        measured = self.clock() - at
+        return measured if line.came_at is None else min(measured, max(0.0, line.came_at - unix_at))
 
     def _place(self, sink):
         """What idle connections are kept by: an address can pass from one endpoint to the next."""
@@ -117,9 +127,7 @@
             raise Broken(False)
         line = self.lines.take(place)
         if line is None:
-            with anyio.move_on_after(self.limits.connect / 1000.0):
-                return await connect(address, self.buffers, parser())
-            raise Broken(False)
+            line = (await connect(address, self.buffers, parser(), self.limits.connect)).stamp()
         return line
 
     def _written(self, letter, until):
--- a/swiftthread/wire/line.py
+++ b/swiftthread/wire/line.py
@@ -1,19 +1,26 @@
 """One TCP connection, without a library's buffers between it and us: what was written is known to the byte."""
 import errno
+import math
 import socket
+import struct
 
 import anyio
 
-
 DROPPED_AT_ONCE = 64        # reads of one buffer, 1 MiB in all, before others have their turn
 
 
+STAMP = getattr(socket, "SO_TIMESTAMPNS", 35)   # Linux: the kernel says when bytes came, as CLOCK_REALTIME
+STAMPED = struct.Struct("ll")                   # s, ns
+STAMP_ROOM = socket.CMSG_SPACE(STAMPED.size)
+
+
 class Broken(Exception):
-    """The connection is over. `written` tells whether the kernel had taken all bytes of the last message."""
+    """The connection is over. `written` tells whether the kernel had taken all bytes of the last message; `refused`
+    that the other side's machine said no to the connect."""
 
-    def __init__(self, written):
+    def __init__(self, written, refused=False):
         super().__init__("the connection is over")
-        self.written = written
+        self.written, self.refused = written, refused
 
 
 class Line:
@@ -23,6 +30,15 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.buffers, self.parser, self.idle_since = sock, buffers, parser, 0.0
+        self.came_at = None     # Unix ms at which the kernel had the bytes read last; None: it does not say
+
+    def stamp(self):
+        """From now on the kernel notes when bytes come: what we read late is told from what came late."""
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, STAMP, 1)
+        except OSError:
+            pass                # then lateness of ours counts as the other side's, as before
+        return self
 
     async def write(self, *parts):
         """All parts as one message, in order."""
@@ -39,7 +55,11 @@
         """Hand the parser what has come; False when nothing has."""
         try:
             with self.buffers.lent() as buffer:
-                size = self.sock.recv_into(buffer)
+                size, notes, _, _ = self.sock.recvmsg_into([buffer], STAMP_ROOM)
+                for level, kind, data in notes:
+                    if (level, kind) == (socket.SOL_SOCKET, STAMP) and len(data) == STAMPED.size:
+                        seconds, nanos = STAMPED.unpack(data)
+                        self.came_at = seconds * 1000.0 + nanos / 1e6
                 self.parser.receive_data(bytes(buffer[:size]))
         except BlockingIOError:
             return False
@@ -97,8 +117,8 @@
             self.sock.close()
 
 
-async def connect(address, buffers, parser):
-    """A connection to (host, port); Broken when it is refused or never comes up."""
+async def connect(address, buffers, parser, patience_ms=math.inf):
+    """A connection to (host, port); Broken when it is refused, or never comes up within our patience."""
     try:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     except OSError:     # no descriptor is free
@@ -107,10 +127,14 @@
         sock.setblocking(False)
         code = sock.connect_ex(address)
         if code == errno.EINPROGRESS:
-            await anyio.wait_writable(sock)
+            with anyio.move_on_after(patience_ms / 1000.0):
+                await anyio.wait_writable(sock)
+            # Also after our patience: a process that stood still may find it up, or refused, beside the timer.
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if not code:
+                sock.getpeername()
         if code:
-            raise Broken(False)
+            raise Broken(False, code == errno.ECONNREFUSED)
         return Line(sock, buffers, parser)
     except BaseException as fault:
         sock.close()
