--- a/swiftthread/queues.py
+++ b/swiftthread/queues.py
@@ -19,11 +19,11 @@
 
 class Group:
     """Events that fare alike. `rows`: (rank reversed, number, event) in order, the next to go last."""
-    __slots__ = ("key", "dest", "rows", "waiting", "sorted_at", "span", "until")
+    __slots__ = ("key", "dest", "rows", "waiting", "sorted_at", "span", "until", "rings_at")
 
     def __init__(self, key, dest, now, span):
         self.key, self.dest, self.rows, self.waiting = key, dest, [], 0
-        self.sorted_at, self.span, self.until = now, span, -math.inf
+        self.sorted_at, self.span, self.until, self.rings_at = now, span, -math.inf, math.inf
 
 
 class Queues:
@@ -35,9 +35,10 @@
         self.groups, self.by_dest = {}, {}      # key -> group; destination -> its groups; emptied with their last event
         self.ready = {}         # groups to ask in the next turn; emptied by it
         self.by_slot = {}       # groups that may wait for a slot of any destination; emptied by the next outcome
-        self.sleeping = []      # heap of (moment, number, group); emptied as moments pass
-        self.timed = []         # heap of (moment, number, event): ends, and turns after a rest; emptied as they pass
-        self.ends = {}          # waiting event -> its last moment as it stands in `timed`; emptied as it leaves
+        self.sleeping = []      # heap of (moment, number, group), one that counts a group; emptied as moments pass
+        self.timed = []         # heap of [moment, number, event]: ends, and turns after a rest; emptied as they pass
+        self.ends = {}          # waiting event -> the entry of its end in `timed`; emptied as it leaves
+        self.stale = 0          # entries of `timed` whose event has left; they are sorted out when they are many
         self.subjects = {}      # subjects of which an event has left or ended; emptied each turn
 
     def __len__(self):
@@ -46,15 +47,18 @@
     def add(self, evt, now):
         """An event waits to be asked for."""
         self.place[evt] = None
-        end = self.ends[evt] = self.module.last_moment(evt, now)
-        heapq.heappush(self.timed, (end, next(self.number), evt))
+        self._ends_at(evt, self.module.last_moment(evt, now))
         self._seat(evt, now)
 
+    def _ends_at(self, evt, moment):
+        entry = self.ends[evt] = [moment, next(self.number), evt]
+        heapq.heappush(self.timed, entry)
+
     def _seat(self, evt, now):
         turn_at = self.module.turn_at(evt, now)
         if turn_at > now:
             if turn_at < math.inf:
-                heapq.heappush(self.timed, (turn_at, next(self.number), evt))
+                heapq.heappush(self.timed, [turn_at, next(self.number), evt])
             return
         key = (evt.dest, *self.module.fares_with(evt))
         group = self.groups.get(key)
@@ -84,7 +88,13 @@
         """An event ended, or is asked for no more: the next of its subject may go."""
         self._unseat(evt)
         self.place.pop(evt, None)
-        self.ends.pop(evt, None)
+        if (entry := self.ends.pop(evt, None)) is not None:
+            entry[2] = None         # its body must not stay in memory for its whole max age
+            self.stale += 1
+            if self.stale > 64 and 2 * self.stale > len(self.timed):
+                self.timed = [entry for entry in self.timed if entry[2] is not None]
+                heapq.heapify(self.timed)
+                self.stale = 0
         if evt.subject:
             self.subjects[evt.subject] = True
 
@@ -102,14 +112,20 @@
                 del self.by_dest[group.dest]
             self.by_slot.pop(group, None)
             self.ready.pop(group, None)
+            group.rows = []
 
     def next_moment(self):
         if self.ready or self.subjects:
             return -math.inf
         while self.timed and self.timed[0][2] not in self.place:
-            heapq.heappop(self.timed)
+            self._pop_timed()
         return min(self.sleeping[0][0] if self.sleeping else math.inf, self.timed[0][0] if self.timed else math.inf)
 
+    def _pop_timed(self):
+        entry = heapq.heappop(self.timed)
+        self.stale -= entry[2] is None
+        return entry
+
     def turn(self, now):
         """[(event, Send, Decline or Discard)] of all that move now, in the order asked. They wait no more."""
         moved = []
@@ -117,8 +133,12 @@
         self._subjects_go_on(now)
         while self.sleeping and self.sleeping[0][0] <= now:
             moment, _, group = heapq.heappop(self.sleeping)
-            if group.until == moment and self.groups.get(group.key) is group:
-                self.ready[group] = True
+            if group.rings_at == moment and group.waiting:
+                group.rings_at = math.inf
+                if group.until <= now:
+                    self.ready[group] = True
+                else:
+                    self._rings(group)
         if self.module.crowded():
             self._shed(now, moved)
         self._ask(now, moved)
@@ -133,14 +153,13 @@
 
     def _time_passes(self, now, moved):
         while self.timed and self.timed[0][0] <= now:
-            moment, _, evt = heapq.heappop(self.timed)
+            entry = self._pop_timed()
+            evt = entry[2]
             if evt not in self.place:
                 continue
-            if self.ends[evt] == moment:
-                answer = self._one(evt, now, moved)
-                if isinstance(answer, Later):       # the module has moved its end
-                    self.ends[evt] = end = max(now + 1.0, self.module.last_moment(evt, now))
-                    heapq.heappush(self.timed, (end, next(self.number), evt))
+            if self.ends[evt] is entry:
+                if isinstance(self._one(evt, now, moved), Later):       # the module has moved its end
+                    self._ends_at(evt, max(now + 1.0, self.module.last_moment(evt, now)))
             elif self.place[evt] is None:
                 self._seat(evt, now)
 
@@ -192,7 +211,6 @@
                 continue
             if isinstance(answer, Send):
                 sent.add(group.dest)
-            group.rows.pop()
             self._head(group, now, heads)
 
     def _head(self, group, now, heads):
@@ -220,9 +238,15 @@
         group.until = wait.until
         if wait.or_outcome and self.module.scarce():
             self.by_slot[group] = True
-        heapq.heappush(self.sleeping, (wait.until, next(self.number), group))
+        self._rings(group)
         sinks = group.dest.sinks
         if sinks and sinks[0].apart:
             for _, _, _, other in group.rows[-2:-2 - APART_TRIES:-1]:
                 if self.place.get(other) is group:
                     self._one(other, now, moved)
+
+    def _rings(self, group):
+        """One entry a group, at its moment or before: an outcome can move the moment many times a second."""
+        if group.until < group.rings_at:
+            group.rings_at = group.until
+            heapq.heappush(self.sleeping, (group.until, next(self.number), group))
