A node behind its turns reads no more than it sends; clients wait in the kernel

Cause: hand-ins took the core from sends; at 128 closed-loop clients 12,563 events were refused and 2,245 acked in 4 s. Change: service/choices.py, Intake: while turns come late in the mean, as many requests are read in a turn as nine tenths of the events that moved in it; the rest wait in the kernel. A plain bound with refusals was the state before.

--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -6,6 +6,7 @@
 
 from swiftthread import plain
 from swiftthread.choice import Dispatcher
+from swiftthread.service.choices import Intake
 from swiftthread.wire.courier import End
 
 OUTCOMES = {plain.Decline: "handed_back", plain.Discard: "given_up"}
@@ -20,7 +21,8 @@
         self.clock, self.wall, self.tasks = clock, wall, tasks
         self.room, self.max_ages = terms.get("room") or 10000, [stream.max_age_ms for stream in terms["streams"]]
         self.held_bytes, self.stopping, self.sends_until = 0, False, math.inf     # the last: the module's clock
-        self.courier = self.notices = None      # joined by the start, once the lists are known
+        self.intake = Intake(self.turns.gap)
+        self.courier = self.notices = self.door = None      # joined by the start, once the lists are known
 
     def take(self, held):
         """The door asks: (status, what to do once it is answered, ms after which to come back). In the log before it
@@ -90,9 +92,11 @@
             if not isinstance(answer, plain.Later):
                 self.ledger.decided(held, OUTCOMES[type(answer)], getattr(answer, "come_back_ms", 0.0))
 
-    def each_turn(self, now):
-        """What a turn leads to besides events: calls leave, probes, idle connections, the list."""
+    def each_turn(self, now, moved, late):
+        """What a turn leads to besides events: calls leave, clients are let in, probes, idle connections, the list."""
         self.courier.leave()
+        self.intake.turn(late, moved)
+        self.door.let_in()
         for sink in self.module.probes(now):
             self.tasks.start_soon(self.probe, sink)
         for sink in self.module.closes(now):
--- a/swiftthread/service/start.py
+++ b/swiftthread/service/start.py
@@ -49,8 +49,8 @@
             node.courier = Courier(tasks, lines, buffers, clock, wall, registry.addresses, limits, told.report_names,
                                    node.module.may_leave)
             node.notices = Notices(told.discovery, buffers, bounds.PLATFORM_MS, bounds.NOTICE_PAUSE_MS)
-            door = Door(node.take, told.streams, told.tenants, buffers, limits, wall, bounds.FIRST_MS,
-                        bounds.REQUEST_MS, bounds.CLIENT_IDLE_MS)
+            door = node.door = Door(node.take, told.streams, told.tenants, buffers, limits, wall, bounds.FIRST_MS,
+                                    bounds.REQUEST_MS, bounds.CLIENT_IDLE_MS, node.intake, node.turns.ring)
             if told.known:
                 node.module.listed(*registry.entries(told.known), clock())
             node.resume()
--- a/swiftthread/service/turns.py
+++ b/swiftthread/service/turns.py
@@ -30,7 +30,7 @@
         self.module, self.clock, self.gap, self.queues = module, clock, gap_ms, Queues(module)
         self.heard = []             # those with something to tell; emptied each turn
         self.asked = {}             # waiting event -> its turn; emptied as they move
-        self.bell, self.sleeps_until = anyio.Event(), -math.inf
+        self.bell, self.rung, self.sleeps_until = anyio.Event(), False, -math.inf
         self.sending = True     # set to False by the stop: outcomes are still heard, no event is asked for
 
     async def tell(self):
@@ -49,6 +49,11 @@
             self.bell.set()
         return await turn.come()
 
+    def ring(self):
+        """A turn is wanted, whatever there is to ask."""
+        self.rung = True
+        self.bell.set()
+
     def learnt(self, dest=None):
         """The module was told of an outcome at a destination, or of a list (None)."""
         self.queues.stir(dest)
@@ -59,18 +64,23 @@
         self.asked.pop(evt, None)
 
     async def run(self, once_asked):
-        """Give turns until cancelled; `once_asked(now)` acts on what each turn's events were told."""
+        """Give turns until cancelled; `once_asked(now, moved, late)` acts on what each turn's events were told: how
+        many moved, and how many ms the turn came late for want of the core."""
+        late = 0.0
         while True:
             await self._sleep()
             now = self.clock()
-            await self._turn(now)
-            once_asked(now)
+            moved = await self._turn(now)
+            once_asked(now, moved, late)
+            begun = self.clock()
             await anyio.sleep(self.gap / 1000.0)
+            late = self.clock() - begun - self.gap
 
     async def _sleep(self):
         self.bell, now = anyio.Event(), self.clock()
         until = min(self.queues.next_moment(), self.module.next_moment(now))
-        if self.heard or until <= now and self.sending:
+        if self.heard or self.rung or until <= now and self.sending:
+            self.rung = False
             return
         self.sleeps_until = until
         with anyio.move_on_after((until - now) / 1000.0 if until < math.inf and self.sending else None):
@@ -84,9 +94,10 @@
         if heard:
             await checkpoint()      # they run up to their next wait
         if not self.sending:
-            return
+            return 0
         moved = self.queues.turn(now)
         for evt, answer in moved:
             self.asked.pop(evt).begin(now, answer)
         if moved:
             await checkpoint()
+        return len(moved)
--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -2,6 +2,7 @@
 import math
 import re
 import zlib
+from collections import deque
 
 import anyio
 import h11
@@ -35,7 +36,7 @@
 class Door:
     """Owner of the listener's connections. `take(held)` says whether the node takes an event on."""
 
-    def __init__(self, take, streams, tenants, buffers, limits, wall, first_ms, request_ms, idle_ms):
+    def __init__(self, take, streams, tenants, buffers, limits, wall, first_ms, request_ms, idle_ms, intake, ring):
         self.take, self.streams, self.tenants, self.buffers = take, streams, tenants, buffers
         self.limits, self.wall, self.first, self.request, self.idle = limits, wall, first_ms, request_ms, idle_ms
         # Connections -> since when, by what they do, the longest in front; emptied as they close. `leaving`: told that
@@ -43,6 +44,8 @@
         # have handed in nothing yet (they asked after the node's health, say), `clients` have.
         self.leaving, self.silent, self.asking, self.strangers, self.clients = self.rooms = {}, {}, {}, {}, {}
         self.closing = False    # then each answer closes its connection
+        # `ring` asks for a turn, in which `let_in` is called. Flags of connections whose request waits to be read.
+        self.intake, self.ring, self.outside = intake, ring, deque()
 
     async def serve(self, listener, tasks):
         """Accept until cancelled."""
@@ -138,6 +141,24 @@
         finally:
             self._shut(line)
 
+    async def _let_in(self):
+        """Wait until this connection's request may be read."""
+        if not self.outside and self.intake.takes():
+            return
+        flag = anyio.Event()
+        self.outside.append(flag)
+        self.ring()
+        try:
+            await flag.wait()
+        finally:
+            if not flag.is_set():
+                self.outside.remove(flag)
+
+    def let_in(self):
+        """A turn: as many as may be read, the longest outside first."""
+        while self.outside and self.intake.takes():
+            self.outside.popleft().set()
+
     async def _request(self, line, first):
         """The next request and its body; Bad when it is none, Broken when none comes."""
         request, body = None, bytearray()
@@ -154,7 +175,10 @@
                 if part is h11.NEED_DATA:
                     if line.parser.they_are_waiting_for_100_continue:
                         await line.write(line.parser.send(h11.InformationalResponse(status_code=100, headers=[])))
-                    await line.read()
+                    await line.comes()
+                    if line not in self.asking:
+                        await self._let_in()
+                    line.read_now()
                 elif isinstance(part, h11.Request):
                     request = part
                     self._check(part)
--- a/swiftthread/wire/line.py
+++ b/swiftthread/wire/line.py
@@ -71,6 +71,10 @@
         while not self.read_now():
             await self._when(anyio.wait_readable)
 
+    async def comes(self):
+        """Wait until there is something to read, or the end."""
+        await self._when(anyio.wait_readable)
+
     async def _when(self, can):
         try:
             await can(self.sock)
--- /dev/null
+++ b/tests/test_intake.py
@@ -0,0 +1,47 @@
+"""How much comes in: while turns come late, no more than goes out; a node that keeps up takes all there is."""
+import math
+
+import pytest
+
+from swiftthread.service.choices import LEAST, Intake
+
+
+def taken(intake, wanted):
+    return sum(intake.takes() for _ in range(wanted))
+
+
+@pytest.mark.parametrize("late, moved, expected", [
+    (0.0, 0, 1000), (4.9, 0, 1000), (5.2, 0, LEAST), (5.2, 3, LEAST), (5.2, 64, 57), (80.0, 64, 57), (80.0, 2000, 1000)])
+def test_requests_read_in_a_turn(late, moved, expected):
+    intake = Intake(5.0)
+    for _ in range(60):
+        intake.turn(late, moved)
+    assert taken(intake, 1000) == expected
+
+
+def test_one_late_turn_shuts_nobody_out_and_one_light_one_lets_no_crowd_in():
+    intake = Intake(5.0)
+    intake.turn(40.0, 20)
+    assert intake.left == math.inf
+    for _ in range(20):
+        intake.turn(40.0, 20)
+    assert taken(intake, 1000) == 18 and not intake.takes()
+    intake.turn(0.0, 20)
+    assert intake.left < math.inf
+    for _ in range(20):
+        intake.turn(0.0, 20)
+    assert intake.left == math.inf
+
+
+def test_in_and_out_balance_whatever_is_offered():
+    """A core that does 100 things a turn, hand-ins first; a hand-in costs 1, a send 2. Ten times as much is offered."""
+    intake, held, acked = Intake(5.0), 0, 0
+    for _ in range(60):
+        intake.turn(50.0, 64)
+    for _ in range(500):
+        came = taken(intake, 1000)
+        moved = min(held + came, 64)
+        held += came - moved
+        acked += moved
+        intake.turn(max(0.0, came + 2 * moved - 100) * 0.05 + 5.1, moved)     # with so much offered it is never idle
+    assert held <= 64 and acked > 500 * LEAST
