--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -17,6 +17,7 @@
 FINISH_MS = 3000.0                  # for the rest of a bad request, which is read and dropped; 60 MB on loopback
 SILENT_S, ASKING_S = 0.25, 0.45     # s that a connection is left alone without a request, and in one: a client
 #                                     waits 0.4 s for its answer, its connect counted in
+LATE_S, GIVES_UP_S = 0.15, 0.35     # s outside: from here the latest come first; from here a closed one has given up
 ONCE = (b"x-txn", b"x-lane", b"x-remaining", b"x-route-to", b"idempotency-key", b"x-org", b"x-entity")
 REMAINING = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 DEST = re.compile(r"(?:^|[;,\s])dest=(\d{1,9})(?:$|[;,\s])")
@@ -33,6 +34,13 @@
         self.status = status
 
 
+class Outside:
+    """A connection whose request waits to be read."""
+
+    def __init__(self, line):
+        self.line, self.since, self.flag, self.gone = line, anyio.current_time(), anyio.Event(), False
+
+
 class Door:
     """Owner of the listener's connections. `take(held)` says whether the node takes an event on."""
 
@@ -44,7 +52,7 @@
         # have handed in nothing yet (they asked after the node's health, say), `clients` have.
         self.leaving, self.silent, self.asking, self.strangers, self.clients = self.rooms = {}, {}, {}, {}, {}
         self.closing = False    # then each answer closes its connection
-        # `ring` asks for a turn, in which `let_in` is called. Flags of connections whose request waits to be read.
+        # `ring` asks for a turn, in which `let_in` is called. Connections whose request waits to be read, oldest first.
         self.intake, self.ring, self.outside = intake, ring, deque()
 
     async def serve(self, listener, tasks):
@@ -141,23 +149,35 @@
         finally:
             self._shut(line)
 
-    async def _let_in(self):
+    async def _let_in(self, line):
         """Wait until this connection's request may be read."""
         if not self.outside and self.intake.takes():
             return
-        flag = anyio.Event()
-        self.outside.append(flag)
+        waiting = Outside(line)
+        self.outside.append(waiting)
         self.ring()
         try:
-            await flag.wait()
+            await waiting.flag.wait()
         finally:
-            if not flag.is_set():
-                self.outside.remove(flag)
+            if not waiting.flag.is_set():
+                self.outside.remove(waiting)
+        if waiting.gone:
+            raise Broken(True)
 
     def let_in(self):
-        """A turn: as many as may be read, the longest outside first."""
+        """A turn: as many as may be read. The longest outside first, but once that one's client is about to give up, the
+        latest come first: else each would be read just too late. Who gave up goes without being read."""
+        now = anyio.current_time()
+        while self.outside and now - self.outside[0].since > GIVES_UP_S and self.outside[0].line.left():
+            self._in(self.outside.popleft(), gone=True)
         while self.outside and self.intake.takes():
-            self.outside.popleft().set()
+            late = now - self.outside[0].since > LATE_S
+            self._in(self.outside.pop() if late else self.outside.popleft())
+
+    @staticmethod
+    def _in(waiting, gone=False):
+        waiting.gone = gone
+        waiting.flag.set()
 
     async def _request(self, line, first):
         """The next request and its body; Bad when it is none, Broken when none comes."""
@@ -177,7 +197,7 @@
                         await line.write(line.parser.send(h11.InformationalResponse(status_code=100, headers=[])))
                     await line.comes()
                     if line not in self.asking:
-                        await self._let_in()
+                        await self._let_in(line)
                     line.read_now()
                 elif isinstance(part, h11.Request):
                     request = part
--- a/swiftthread/wire/line.py
+++ b/swiftthread/wire/line.py
@@ -10,6 +10,7 @@
 
 
 STAMP = getattr(socket, "SO_TIMESTAMPNS", 35)   # Linux: the kernel says when bytes came, as CLOCK_REALTIME
+LEFT = (7, 8)       # Linux, tcp_info: CLOSE, CLOSE_WAIT
 STAMPED = struct.Struct("ll")                   # s, ns
 STAMP_ROOM = socket.CMSG_SPACE(STAMPED.size)
 
@@ -71,6 +72,13 @@
         while not self.read_now():
             await self._when(anyio.wait_readable)
 
+    def left(self):
+        """The other side has closed, whatever of it is still unread."""
+        try:
+            return self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in LEFT
+        except OSError:
+            return True
+
     async def comes(self):
         """Wait until there is something to read, or the end."""
         await self._when(anyio.wait_readable)
