Laboratory: one clock for all its processes, a revision is looked up once

Found on reading the change again: three copies of the clock, a second git call for each revision, a field never read.

--- a/swiftthread/lab/builds.py
+++ b/swiftthread/lab/builds.py
@@ -21,9 +21,10 @@
     if rev in (None, "tree"):
         yield TREE
         return
-    commit = _git("rev-parse", "--verify", "--quiet", f"{rev}^{{commit}}") if _known(rev) else None
-    if commit is None:
-        raise Trouble(f"{rev}: no such revision")
+    try:
+        commit = _git("rev-parse", "--verify", f"{rev}^{{commit}}")
+    except Trouble:
+        raise Trouble(f"{rev}: no such revision") from None
     folder = Path(tempfile.mkdtemp(prefix="lab-build-"))
     _git("worktree", "add", "--detach", "--force", str(folder), commit)
     try:
@@ -31,10 +32,3 @@
     finally:
         shutil.rmtree(folder, ignore_errors=True)
         _git("worktree", "prune")
-
-
-def _known(rev):
-    try:
-        return bool(_git("rev-parse", "--verify", "--quiet", f"{rev}^{{commit}}"))
-    except (Trouble, IndexError):
-        return False
--- a/swiftthread/lab/emulator.py
+++ b/swiftthread/lab/emulator.py
@@ -12,13 +12,13 @@
 import socket
 import struct
 import sys
-import time
 from functools import partial
 from itertools import count
 
 import httptools
 
 from swiftthread.lab import model, records
+from swiftthread.lab.records import clock
 
 STATUS = {model.DONE: 200, model.ERROR: 500, model.FULL: 429, model.SHUT: 503}
 REASON = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found", 429: "Too Many Requests",
@@ -29,10 +29,6 @@
 AT_SOCKETS = ("reset_before", "slow_read", "slow_write")
 
 
-def clock():
-    return time.monotonic() * 1000.0
-
-
 def bound():
     """A socket with a port of its own, not listening yet: connects are refused. The port is bound by its number, so
     that it stays ours while the socket listens, stops and listens again."""
@@ -101,7 +97,7 @@
     """A connection to an endpoint."""
 
     def __init__(self, door):
-        self.door, self.call, self.shown, self.counted = door, None, 0, False
+        self.door, self.call, self.counted = door, None, False
 
     def connection_made(self, transport):
         super().connection_made(transport)
--- a/swiftthread/lab/load.py
+++ b/swiftthread/lab/load.py
@@ -16,6 +16,7 @@
 from hdrh.histogram import HdrHistogram
 
 from swiftthread.lab import records
+from swiftthread.lab.records import clock
 
 LONGEST_US = 120_000_000    # of the histogram; nothing waits longer than a run
 DIGITS = 3                  # significant decimal digits it keeps
@@ -25,10 +26,6 @@
 TRIES = 6                   # hand-ins of one event, the first counted in
 
 
-def clock():
-    return time.monotonic() * 1000.0
-
-
 class Event:
     """One event as its client has it, over all its hand-ins."""
     __slots__ = ("origin", "stream", "dest", "key", "subject", "due", "ends_at", "tries")
--- a/swiftthread/lab/records.py
+++ b/swiftthread/lab/records.py
@@ -2,9 +2,16 @@
 
 One JSON line a row. Moments are ms of the machine's monotonic clock, one for all processes of a run.
 """
+import time
+
 import msgspec
 
 
+def clock():
+    """Now, on that clock."""
+    return time.monotonic() * 1000.0
+
+
 class Row(msgspec.Struct, tag_field="row"):
     at: float
 
--- a/swiftthread/lab/runner.py
+++ b/swiftthread/lab/runner.py
@@ -9,7 +9,6 @@
 import socket
 import subprocess
 import sys
-import time
 from collections import defaultdict
 from pathlib import Path
 
@@ -20,6 +19,7 @@
 
 from swiftthread.lab import records, referee, scripts
 from swiftthread.lab.load import DIGITS, LONGEST_US
+from swiftthread.lab.records import clock
 
 READY_S = 15.0          # s for a process of a run to be ready
 START_AHEAD_MS = 300.0  # ms between "all are ready" and the first moment of the script
@@ -35,10 +35,6 @@
     """A run that could not be made; the text says which part and why."""
 
 
-def clock():
-    return time.monotonic() * 1000.0
-
-
 def command_of(node):
     """The command line of a node: one of KINDS, or "exec:" and a command."""
     if node.startswith("exec:"):
