A full connection table is told from a refused call; idle connections leave room for others

Tables were full since closes() kept a connection for one call expected in the keep-alive time: one node's one place is harmless, 200 nodes' are the table. Change: such a 503 is the outcome 'table full', neither refusal nor outage, with a drawn pause at the endpoint; a connection is kept where it would be in use for a fifth of the time. Tests: tests/test_fleet.py, test_node.py.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -12,9 +12,9 @@
 from collections import deque
 from statistics import median
 
-from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, ERROR, FULL, IDEMPOTENT, NON_IDEMPOTENT,
-                               RESET, TIMEOUT, UNREACHED, UNSENT, Call, Decline, Destination, Discard, Event,
-                               Later, Send, Wait)
+from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, ERROR, FULL, IDEMPOTENT, NEVER_RAN,
+                               NON_IDEMPOTENT, RESET, TABLE_FULL, TIMEOUT, UNREACHED, UNSENT, Call, Decline,
+                               Destination, Discard, Event, Later, Send, Wait)
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
 GROW = 0.08             # x first rate each second: clean growth past the level; slow beside a halving
@@ -43,7 +43,7 @@
 BUSY = 0.33             # of the SLO time (mean by utility): nodes with an event in it share a key's rate
 AT_ONCE = 0.5           # of the time for a connect: one that fails sooner was refused, not unanswered
 CROWDED_MS = 20000.0    # ms for which a refused connect says that the endpoint's table is short of room
-REUSED = 1.0            # calls expected while a connection may idle, from which it is kept
+USED, PLACE_MS = 0.2, 50.0  # share of the time from which a connection is kept: in use, or being made anew
 FELL = 0.6              # of the limit held true: a told limit below that is a fall, not noise
 SHUT_MS, REFUSED_RUN = 2100.0, 1  # ms told to wait, or refused in a row for that long: shut; fewer are chance
 SHUN_MS = 5000.0        # ms for which a stream type goes past an endpoint that failed it; some SLO times
@@ -144,6 +144,7 @@
         self.out, self.heard, self.bad, self.run = 0, -math.inf, 0.0, 0
         self.down, self.silent, self.probing, self.proved = False, False, False, False
         self.run_since, self.cold_since, self.acked_at, self.crowded_at = 0.0, -math.inf, -math.inf, -math.inf
+        self.again_at = -math.inf       # after a full table; an unpaced key has no other pause
         self.shunned = {}    # stream type -> until when; one entry a stream type, emptied by an ack
 
 
@@ -311,7 +312,7 @@
         if not call.learnt:
             call.learnt = True
             self._learn(sink, outcome, now, latency, report or {})
-        if outcome not in (ACKED, FULL, UNREACHED, UNSENT):
+        if outcome not in (ACKED, *NEVER_RAN):
             if evt.maybe_at is None:
                 evt.maybe_at, evt.maybe_zone = evt.sent_at, sink.zone
             if evt.subject and outcome != ERROR:
@@ -334,10 +335,16 @@
 
     def closes(self, now):
         """Sinks whose idle connections to close now. Guards a connection table that those of many nodes fill:
-        kept are those likely used again in time. Hurts where the next event comes sooner than the last."""
+        one that idles far longer than it is used is a place taken from others. Hurts where the next event
+        comes sooner than the last."""
         idle, self.idle = self.idle, {}
-        return [s for s in idle if not s.out and (now - s.crowded_at < CROWDED_MS or not s.dest.held
-                                                  and s.key.pace(now) * self.keepalive <= REUSED)]
+        return [s for s in idle if not s.out and (now - s.crowded_at < CROWDED_MS or self._idles(s, now))]
+
+    def _idles(self, sink, now):
+        """Whether a connection there would idle most of the time. Where no end of that is told it may."""
+        key = sink.key
+        pace = (key.rate or math.inf) if sink.dest.held else key.pace(now)
+        return self.keepalive < math.inf and pace * max(key.usual, PLACE_MS) <= USED
 
     def _wants_probe(self, sink):
         # Only a sink that went silent: elsewhere an event that is tried loses nothing.
@@ -420,7 +427,7 @@
         if sink.out and now - sink.heard > quiet * (1 if sink.out > 1 else 2):
             # Bookings never learn when calls end: a silent sink would take slot after slot.
             return math.inf
-        return max(key.ready_at(), key.cold_due if now - sink.cold_since < self.warm_up else now)
+        return max(key.ready_at(), sink.again_at, key.cold_due if now - sink.cold_since < self.warm_up else now)
 
     def _send(self, evt, sink, joins, now):
         key = sink.key
@@ -472,6 +479,9 @@
         if outcome in (CANCELLED, UNSENT):
             return
         sink.heard = now
+        if outcome == TABLE_FULL:   # neither its limit nor its health: it answered that its table is full
+            sink.crowded_at, sink.again_at = now, now + TRY_MS * self.spread(0.5, 1.5)
+            return
         if outcome == ACKED:
             sink.acked_at, sink.run, sink.bad = now, 0, sink.bad * (1 - SMOOTH)
             if sink.down:
--- a/swiftthread/plain.py
+++ b/swiftthread/plain.py
@@ -10,7 +10,8 @@
 # How a send can end, whatever the protocol calls it.
 ACKED, ERROR, FULL, TIMEOUT = "acked", "error", "full", "timeout"
 UNREACHED, RESET, CANCELLED, UNSENT = "unreached", "reset", "cancelled", "unsent"
-NEVER_RAN = (FULL, UNREACHED, UNSENT)       # what surely had no effect
+TABLE_FULL = "table full"   # turned away with its new connection: the endpoint runs, its connection table is full
+NEVER_RAN = (FULL, UNREACHED, UNSENT, TABLE_FULL)   # what surely had no effect
 
 # Effects of a stream type.
 IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT = "idempotent", "deduplicated", "non-idempotent"
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -95,7 +95,7 @@
         latency = 0.0 if refused else self.clock() - started
         if answer.begun or answer.whole:
             latency = self._latency(line, *written)
-        self._read(letter, answer, outcome, latency)
+        self._read(letter, answer, outcome, latency, line is not None and not line.used)
 
     def _latency(self, line, at, unix_at):
         """Ms from our write to the moment at which the kernel had the answer. Guards against our own slowness, which
@@ -143,8 +143,8 @@
                 | ({"key": held.key} if held.key else {}) for held in letter.sends]
         return "/receive-many", [*headers, ("Content-Type", "application/json")], json.dumps(rows).encode()
 
-    def _read(self, letter, answer, outcome, latency):
-        """Give each event of the call its end."""
+    def _read(self, letter, answer, outcome, latency, fresh):
+        """Give each event of the call its end. `fresh`: it was the first on its connection."""
         status, over, states = answer.status, False, {}
         told, report = _told(answer.headers), self._report(answer.headers)
         if answer.first == 200 and len(letter.sends) == 1:
@@ -160,6 +160,8 @@
                 outcome = plain.UNSENT
             else:
                 outcome = plain.FULL if status in (429, 503) else plain.ERROR
+            if status == 503 and fresh and not told and answer.headers.get("connection", "").lower() == "close":
+                outcome = plain.TABLE_FULL     # it is not the event that is turned away, it is the connection
         for held in letter.sends:
             state = states.get(held.ident)
             ended = STATES.get(state, outcome)
--- a/swiftthread/wire/line.py
+++ b/swiftthread/wire/line.py
@@ -31,6 +31,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.buffers, self.parser, self.idle_since = sock, buffers, parser, 0.0
+        self.used = False       # it idled between two calls, so it had a place in the other side's table
         self.came_at = None     # Unix ms at which the kernel had the bytes read last; None: it does not say
 
     def stamp(self):
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,78 @@
+"""Many instances of the decisions against shared stand-ins, on one clock: what each does alone, added up."""
+import heapq
+import random
+from itertools import count
+
+from helpers import CODES, Run
+
+CODES["table full"] = 0        # known to sockets alone; the drill's wire has no word for it
+CALL_MS, IDLE_MS = 100.0, 4000.0    # ms: an endpoint's answer; a node's connection idles so long at most
+
+
+class Table:
+    """An endpoint that holds only so many connections: a call needs its instance's idle one, or a free place."""
+
+    def __init__(self, places):
+        self.places, self.open, self.calls = places, {}, []     # member -> idle from, until; (moment, member, served)
+
+    def answer(self, member, now):
+        self.open = {of: span for of, span in self.open.items() if span[1] > now}
+        served = member in self.open and self.open[member][0] <= now or len(self.open) < self.places
+        if served:
+            self.open[member] = (now + CALL_MS, now + CALL_MS + IDLE_MS)
+        self.calls.append((now, member, served))
+        return (CALL_MS, "acked") if served else (30.0, "table full")
+
+    def close(self, member):
+        self.open.pop(member, None)
+
+    def share_crowded(self):
+        return sum(not served for _, _, served in self.calls) / len(self.calls)
+
+
+class Member(Run):
+    """One instance of a fleet; its script stands in the fleet's."""
+
+    def __init__(self, fleet, number, sinks, endpoints, terms):
+        self.fleet, self.number, self.endpoints = fleet, number, endpoints
+        super().__init__(sinks, lambda ticket, sink, now: endpoints[sink].answer(number, now), position=number, **terms)
+        self.inst.node.spread = random.Random(number).uniform
+
+    def at(self, moment, act, *args):
+        heapq.heappush(self.fleet.todo, (moment, next(self.fleet.turn), self, act, args))
+
+    def over(self, ticket, sink, outcome, delay, told=0.0):
+        if outcome != "table full":
+            return super().over(ticket, sink, outcome, delay, told)
+        evt = self.inst.out.pop(ticket)
+        self.inst.answer(evt, self.inst.node.after(evt, outcome, self.now, delay), self.now, self)
+        self.inst.stirred = True
+
+    def close_idle(self, _node, sink):
+        self.endpoints[sink].close(self.number)
+
+
+class Fleet:
+    """So many instances that share nothing but the endpoints, by sink."""
+
+    def __init__(self, size, sinks, endpoints, **terms):
+        self.todo, self.turn = [], count()
+        self.members = [Member(self, number, sinks, endpoints, {"nodes": size} | terms) for number in range(size)]
+
+    def load(self, seed, rate, begin, end):
+        """Events by chance, so many a second in the mean, each at any instance."""
+        draw, moment, ticket = random.Random(seed), begin, count(1)
+        while (moment := moment + draw.expovariate(rate / 1000.0)) < end:
+            member = draw.choice(self.members)
+            member.at(moment, member.take, next(ticket))
+
+    def play(self, until):
+        while self.todo and self.todo[0][0] <= until:
+            now, _, member, act, args = heapq.heappop(self.todo)
+            member.now = now
+            act(*args)
+            member.inst.settle(now, member)
+        return self
+
+    def lines(self, word):
+        return [line for member in self.members for line in member.lines if word in line]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -182,6 +182,11 @@
     for ticket, moment in enumerate((10.0, 12000.0, 12400.0, 12800.0, 13200.0), 1):
         run.at(moment, run.take, ticket)
     run.play(20000.0).as_kept("closes")
+    for ticket in range(6, 66):
+        run.at(20000.0 + 120.0 * ticket, run.take, ticket)
+    run.play(30000.0)
+    closed = [float(line.split()[0]) for line in run.lines if "close idle" in line]
+    assert max(closed) < 25000.0        # one that is in use for most of the time is kept
 
 
 def test_a_destination_that_was_shut_is_cold_at_all_its_endpoints():
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,36 @@
+"""What is harmless in one instance and harmful in many that share an endpoint and see little each."""
+from fleet import Fleet, Table
+from helpers import Run
+from swiftthread.plain import Later
+
+ROUTE = [("a", 0, 0, 0, 100.0, True)]
+
+
+def test_idle_connections_of_many_leave_room_in_an_endpoint_s_table():
+    """A connection kept for one call in seconds cost nobody anything, but a hundred of them filled the table."""
+    table = Table(30)
+    fleet = Fleet(100, ROUTE, {"a": table}, keepalive_ms=5000.0)
+    fleet.load(1, 60.0, 0.0, 20000.0)
+    fleet.play(30000.0)
+    assert len(table.calls) > 1000 and table.share_crowded() < 0.05
+    assert len(fleet.lines("decline")) < 10
+
+
+def test_a_full_table_is_neither_a_refusal_nor_an_outage():
+    """New connections turned away were taken for the limit: rates fell, and two of them shut a destination."""
+    def paced(outcome):
+        run = Run(ROUTE, lambda ticket, sink, now: (30.0, outcome) if now < 5000.0 else (100.0, "acked"), nodes=20)
+        key = run.play(0.0).inst.node.sinks["a"].key
+        rate, evt = key.rate, run.inst.node.take(0.0, 0, 0, 10000.0)
+        for moment in (0.0, 1500.0, 3000.0, 4500.0):
+            run.inst.node.where(evt, moment)
+            run.inst.node.after(evt, outcome, moment + 30.0, 30.0)
+        return key.rate / rate, run.inst.node.sinks["a"].down
+    assert paced("table full") == (1.0, False)
+    run = Run([("a", 0, 0, 0, 0.0, True)], lambda ticket, sink, now: (30.0, "table full")).play(0.0)
+    evt = run.inst.node.take(0.0, 0, 0, 10000.0)
+    run.inst.node.where(evt, 0.0)
+    run.inst.node.after(evt, "table full", 30.0, 30.0)
+    assert run.inst.node.where(evt, 150.0) == Later()       # an unpaced key has no slot to wait for
+    slowed, down = paced("full")
+    assert slowed < 0.5 and down
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -122,6 +122,17 @@
         assert not waits
 
 
+def test_a_new_connection_turned_away_is_no_refusal_of_the_limit(tmp_path):
+    """Endpoints that hold few connections close a new one with a 503. Were it a refusal, the third try would come after
+    the max age: in a fleet of 200 each halves from 1.5 calls a second."""
+    endpoint = Endpoint(*[(503, [("Connection", "close")], b"")] * 3, 200)
+    endpoint.entry = lambda entry=endpoint.entry: entry(weight=40.0)
+    with Program(tmp_path, endpoint, Balancers=200, Weights="nominal") as node:
+        assert node.hand_in() == 202
+        until(lambda: b'E["evt-1"]' in node.ledger().read_bytes())
+        assert node.notices() == {} and len(endpoint.calls) == 4
+
+
 def test_a_closed_port_is_a_connect_that_failed_and_may_go_elsewhere(tmp_path):
     closed, open_ = Endpoint(ident="s-2"), Endpoint()
     closed.cut()
@@ -210,13 +221,13 @@
     endpoint = Endpoint(idle_s=1.0)
     with Program(tmp_path, endpoint, Permissions={"Keepalive": 1.0}) as node:
         opened = []
-        for number, pause in enumerate([0.0] * 16 + [0.9, 0.9], 1):
+        for number, pause in enumerate([0.0] * 80 + [0.9, 0.9], 1):
             time.sleep(pause)
             assert node.hand_in("once") == 202
             until(lambda: b'E["evt-%d"]' % number in node.ledger().read_bytes())
             opened.append(endpoint.accepted)
         assert opened[-1] == opened[-2] + 1 == opened[-3] + 2 == opened[-5] + 2
-        assert (len(endpoint.calls), node.notices()) == (18, {})
+        assert (len(endpoint.calls), node.notices()) == (82, {})
 
 
 def test_a_list_is_followed_and_a_lost_watch_opened_anew(tmp_path):
