A send's window, group, end, wait and drain are asked for again at its first byte

Change: `choice.leaves_by(event, sink, now)` says by when a send's last byte must have left: the window, the group, the event's end, a told wait, a drain, a withdrawal. The courier asks it right before the first byte and breaks off a call that is not whole by then. What may not leave ends as `kept`: no send, no slot, nothing learnt, and the event is decided on at once. A call of several leaves without it.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -12,7 +12,7 @@
 from collections import deque
 from statistics import median
 
-from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, ERROR, FULL, IDEMPOTENT, NEVER_RAN,
+from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, ERROR, FULL, IDEMPOTENT, KEPT, NEVER_RAN,
                                NON_IDEMPOTENT, RESET, TABLE_FULL, TIMEOUT, UNREACHED, UNSENT, Call, Decline,
                                Destination, Discard, Event, Later, Send, Wait)
 
@@ -212,7 +212,7 @@
             elif listed and listed != sink.key.named:
                 sink.key.hold_true(listed, self.nodes, self.sure)
             sink.key.named = listed or sink.key.named    # as the list names it, not as reports correct it
-            sink.apart, sink.ready = bool(apart), ready
+            sink.apart, sink.ready, sink.zone = bool(apart), ready, zone    # it may come back elsewhere
             sink.batch = self.batch_by_kind[kind] if kind < len(self.batch_by_kind) else 1
             sink.fee = self.fees[zone] if apart and zone < len(self.fees) else 0.0
             if ready and sink not in dest.sinks:
@@ -262,8 +262,7 @@
 
     def fares_with(self, evt):
         """Events of one destination for which this is equal are told the same until one is sent."""
-        bound = evt.maybe_at is not None and evt.stream.effect == DEDUPLICATED and evt.stream.group != "all"
-        return evt.stream, evt.maybe_zone if bound else None
+        return evt.stream, evt.maybe_group if self._bound(evt) else None
 
     def full(self):
         return self.out >= self.slots
@@ -289,17 +288,22 @@
             return Later()
         return self._send(evt, sink, joins, now)
 
-    def may_leave(self, sink, now):
-        """Whether a call may still go: while its connection came up a wait can have been told."""
-        return now >= sink.key.blocked
+    def leaves_by(self, evt, sink, now):
+        """The moment by which the last byte of this send must have left; -inf when its first may not leave any more.
+        Guards what `where` weighed against the time until a connection is up: ends, windows, waits and drains."""
+        if evt.over or not sink.ready or now < sink.key.blocked or not self._in_group(evt, sink):
+            return -math.inf
+        last = self.last_moment(evt, now)
+        return last if now < last else -math.inf
 
     def after(self, evt, outcome, now, latency, told=0.0, over=False, report=None):
         """What an outcome means for its event: None when it is over, else Later, Decline or Discard."""
         call, sink, evt.call, evt.sink = evt.call, evt.sink, None, None
         call.left -= 1
+        evt.sends -= outcome == KEPT
         if call.left == 0:
             self.out, sink.out, self.idle[sink] = self.out - 1, sink.out - 1, True
-            if outcome == UNSENT and not call.learnt and sink.key.rate:
+            if outcome in (UNSENT, KEPT) and not call.learnt and sink.key.rate:
                 sink.key.due -= 1.0 / sink.key.rate     # nobody was called: its slot is the next one's
         if told > 0 and outcome != UNSENT:   # each event of a call may be told a wait of its own
             self._told(sink.key, now + told + 1.0)
@@ -310,11 +314,11 @@
         elif outcome == ACKED:
             sink.shunned.pop(evt.stream, None)
         if not call.learnt:
-            call.learnt = True
+            call.learnt = outcome not in (CANCELLED, UNSENT, KEPT)  # of one that was not in it nothing is learnt
             self._learn(sink, outcome, now, latency, report or {})
         if outcome not in (ACKED, *NEVER_RAN):
             if evt.maybe_at is None:
-                evt.maybe_at, evt.maybe_zone = evt.sent_at, sink.zone
+                evt.maybe_at, evt.maybe_group = evt.sent_at, evt.sent_group
             if evt.subject and outcome != ERROR:
                 self.turns[evt.subject][1] = now + self.key_rest
         if over or evt.over:
@@ -373,12 +377,24 @@
         part = min(1.0, late / max(1.0, stream.max_age_ms - stream.slo_ms))
         return worth * (1 - (1 - stream.late_utility) * part)
 
+    @staticmethod
+    def group_of(evt, sink):
+        """Which endpoints know a repeat of an event sent here, by what outlasts the process: those of its zone, or
+        this one alone where the group is none of the pages'."""
+        return sink.zone if evt.stream.group in ("all", "zone") else sink.ident
+
+    @staticmethod
+    def _bound(evt):
+        return evt.maybe_at is not None and evt.stream.effect == DEDUPLICATED and evt.stream.group != "all"
+
+    def _in_group(self, evt, sink):
+        return not self._bound(evt) or self.group_of(evt, sink) == evt.maybe_group
+
     def _pick(self, evt, now):
         """(sink, moment, joins a call): the sink to send to now, or None and when there may be one."""
         rows = []
         for sink in evt.dest.sinks:
-            if evt.maybe_at is not None and evt.stream.effect == DEDUPLICATED \
-                    and evt.stream.group != "all" and sink.zone != evt.maybe_zone:
+            if not self._in_group(evt, sink):
                 continue
             call, at, left = sink.key.ride
             if at == now and left > 0 and call.sink is sink:
@@ -445,6 +461,7 @@
             key.cold_due = max(now, key.cold_due) + cost * self._cold_pause(sink, now)
         call.left += 1
         evt.call, evt.sink, evt.sent_at, evt.sends = call, sink, now, evt.sends + 1
+        evt.sent_group = self.group_of(evt, sink)
         return Send(sink, self._allow(evt, sink, now))
 
     def _cold_pause(self, sink, now):
@@ -476,7 +493,7 @@
                 fresh = key.sure < 1.0 or limit < FELL * key.listed
                 key.hold_true(key.listed + (limit - key.listed) * (1.0 if fresh else SMOOTH), self.nodes, 1.0)
                 key.rate = min(key.rate or math.inf, key.listed)
-        if outcome in (CANCELLED, UNSENT):
+        if outcome in (CANCELLED, UNSENT, KEPT):
             return
         sink.heard = now
         if outcome == TABLE_FULL:   # neither its limit nor its health: it answered that its table is full
--- a/swiftthread/plain.py
+++ b/swiftthread/plain.py
@@ -11,7 +11,8 @@
 ACKED, ERROR, FULL, TIMEOUT = "acked", "error", "full", "timeout"
 UNREACHED, RESET, CANCELLED, UNSENT = "unreached", "reset", "cancelled", "unsent"
 TABLE_FULL = "table full"   # turned away with its new connection: the endpoint runs, its connection table is full
-NEVER_RAN = (FULL, UNREACHED, UNSENT, TABLE_FULL)   # what surely had no effect
+KEPT = "kept"               # this node itself let none of its last byte go: no send of the event's, nobody was called
+NEVER_RAN = (FULL, UNREACHED, UNSENT, TABLE_FULL, KEPT)     # what surely had no effect
 
 # Effects of a stream type.
 IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT = "idempotent", "deduplicated", "non-idempotent"
@@ -57,14 +58,14 @@
 class Event:
     """An event in hand. The ticket is the door's; all else is kept by the decisions."""
     __slots__ = ("ticket", "stream", "dest", "subject", "weight", "slo_at", "ends_at", "ask_at", "by_outcome",
-                 "sends", "sink", "call", "sent_at", "maybe_at", "maybe_zone", "over")
+                 "sends", "sink", "call", "sent_at", "sent_group", "maybe_at", "maybe_group", "over")
 
     def __init__(self, stream, dest, subject, now, left, weight):
         self.stream, self.dest, self.subject, self.weight = stream, dest, subject, weight
         self.ends_at = now + left
         self.slo_at = self.ends_at - stream.max_age_ms + stream.slo_ms
         self.ask_at, self.by_outcome, self.sends, self.over = now, False, 0, False
-        self.sink = self.call = self.sent_at = self.maybe_at = self.maybe_zone = None
+        self.sink = self.call = self.sent_at = self.sent_group = self.maybe_at = self.maybe_group = None
 
 
 class Destination:
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -49,7 +49,8 @@
                                           held.tenant, held.subject)
         evt.ticket, evt.sends = held, held.sends
         if held.maybe is not None:
-            evt.maybe_at, evt.maybe_zone = now - (wall - held.maybe[0]), held.maybe[1]
+            # The wall clock may have been set back meanwhile: a send cannot be ahead of us.
+            evt.maybe_at, evt.maybe_group = now - max(0.0, wall - held.maybe[0]), held.maybe[1]
         self.held_bytes += len(held.body)
 
     def resume(self):
@@ -80,8 +81,8 @@
         while held.decision is None:
             now, answer = await self.turns.ask(evt)
             if isinstance(answer, plain.Send):
-                noted = self.ledger.sent(held, answer.sink.zone)
-                end = await self.courier.carry(held, answer) if noted else End(plain.UNSENT, 0.0)
+                noted = self.ledger.sent(held, evt.sent_group)
+                end = await self.courier.carry(held, answer) if noted else End(plain.KEPT, 0.0)
                 now = await self.turns.tell()
                 answer = self.module.after(evt, end.outcome, now, end.latency, end.told, end.over, end.report)
                 self.turns.learnt(evt.dest)
--- a/swiftthread/service/start.py
+++ b/swiftthread/service/start.py
@@ -47,7 +47,7 @@
             node = Node(told.seed, terms, told.streams, lambda module: Turns(module, clock, terms.get("tick_ms", 5.0)),
                         ledger, clock, wall, limits, tasks)
             node.courier = Courier(tasks, lines, buffers, clock, wall, registry.addresses, limits, told.report_names,
-                                   node.module.may_leave)
+                                   node.module.leaves_by)
             node.notices = Notices(told.discovery, buffers, bounds.PLATFORM_MS, bounds.NOTICE_PAUSE_MS)
             door = node.door = Door(node.take, told.streams, told.tenants, buffers, limits, wall, bounds.FIRST_MS,
                                     bounds.REQUEST_MS, bounds.CLIENT_IDLE_MS, node.intake, node.turns.ring)
--- a/swiftthread/wire/answer.py
+++ b/swiftthread/wire/answer.py
@@ -90,8 +90,13 @@
 
 
 async def exchange(line, method, target, headers, body, answer, patience):
-    """Write a request and take in the whole answer. Once that has begun, the patience (a cancel scope) is cut short."""
+    """Write a request and take in the whole answer."""
     await line.write(*request(line, method, target, headers, body))
+    await receive(line, answer, patience)
+
+
+async def receive(line, answer, patience):
+    """Take in the whole answer. Once that has begun, the patience (a cancel scope) is cut short."""
     full, begun = patience.deadline, False
     while not answer.absorb(line):
         if answer.begun != begun:       # back to False after an answer of 1xx
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from swiftthread import plain
-from swiftthread.wire.answer import Answer, exchange, parser
+from swiftthread.wire.answer import Answer, exchange, parser, receive, request
 from swiftthread.wire.line import Broken, connect
 
 STATES = {"done": plain.ACKED, "failed": plain.ERROR, "busy": plain.FULL, "void": plain.UNSENT,
@@ -30,6 +30,14 @@
     def __init__(self, sink):
         self.sink, self.sends = sink, {}        # held -> (moment, whether its time ends then)
         self.ends, self.done = {}, {}           # held -> End; held -> the flag that says so
+        self.travel = []        # those that travel in it: not ended when its first byte went
+
+    def waiting(self):
+        """Those that have not ended, and until when the call waits for its answer: an event that may go again
+        elsewhere ends its call with it, so that never two of its sends are out."""
+        sends = {held: send for held, send in self.sends.items() if held not in self.ends}
+        again = [until for until, is_last in sends.values() if not is_last]
+        return list(sends), min(again) if again else max([until for until, _ in sends.values()], default=0.0)
 
     def add(self, held, until, is_last):
         self.sends[held], self.done[held] = (until, is_last), anyio.Event()
@@ -43,9 +51,9 @@
 class Courier:
     """Owner of connections while a call is on them; idle ones are the store's."""
 
-    def __init__(self, tasks, lines, buffers, clock, wall, addresses, limits, report_names, may_leave):
+    def __init__(self, tasks, lines, buffers, clock, wall, addresses, limits, report_names, leaves_by):
         self.tasks, self.lines, self.buffers, self.clock, self.wall = tasks, lines, buffers, clock, wall
-        self.may_leave = may_leave
+        self.leaves_by = leaves_by      # the module's: (event, sink, now) -> by when its last byte has left
         self.addresses, self.limits, self.report_names = addresses, limits, report_names
         self.letters = {}       # call -> letter; emptied each turn, when they leave
 
@@ -66,23 +74,34 @@
         """One call, from its connection to the end of each event in it."""
         started, answer = self.clock(), Answer()
         outcome, written, refused = plain.UNREACHED, None, False
-        # An event that may go again elsewhere ends its call with it, so that never two of its sends are out.
-        again = [until for until, is_last in letter.sends.values() if not is_last]
-        until = min(again) if again else max(until for until, _ in letter.sends.values())
         place, line = self._place(letter.sink), None
+        _, until = letter.waiting()
+        leaves_by = {held: self.leaves_by(held.evt, letter.sink, started) for held in letter.sends}
         if len(letter.sends) > 1:
-            self.tasks.start_soon(self._end_the_last, letter, started)
+            self.tasks.start_soon(self._end_before_others, letter, leaves_by, started)
         try:
-            with anyio.move_on_after(max(0.0, until - started) / 1000.0) as patience:
+            last = max(leaves_by.values())
+            with anyio.move_on_after(max(0.0, min(until, last) - started) / 1000.0):
                 line = await self._line(place)
-                if self.may_leave(letter.sink, self.clock()):
-                    outcome, line.came_at, written = plain.TIMEOUT, None, (self.clock(), self.wall())
-                    await exchange(line, "POST", *self._written(letter, until), answer, patience)
-                else:
-                    outcome = plain.UNSENT
-            # A node that stood still may find its answer beside the timer that ran out.
-            while line and not answer.whole and line.read_now():
-                answer.absorb(line)
+            if line is None:
+                outcome = plain.KEPT if last < until else plain.UNREACHED
+            elif by := self._leaving(letter, place, started):
+                until = letter.waiting()[1]
+                parts = request(line, "POST", *self._written(letter, until))
+                written, line.came_at = (self.clock(), self.wall()), None
+                with anyio.move_on_after(max(0.0, until - written[0]) / 1000.0) as patience:
+                    with anyio.move_on_after((by - written[0]) / 1000.0) as leaves:
+                        await line.write(*parts)
+                        outcome = plain.TIMEOUT
+                    if leaves.cancelled_caught:
+                        outcome = plain.KEPT      # a call begins with its last byte
+                    else:
+                        await receive(line, answer, patience)
+                # A node that stood still may find its answer beside the timer that ran out.
+                while outcome == plain.TIMEOUT and not answer.whole and line.read_now():
+                    answer.absorb(line)
+            else:
+                outcome = plain.KEPT
         except Broken as fault:
             outcome, refused = plain.RESET if fault.written else plain.UNREACHED, fault.refused
         except Exception:       # guards the other calls: a fault in one is a reset of this one
@@ -97,6 +116,19 @@
             latency = self._latency(line, *written)
         self._read(letter, answer, outcome, latency, line is not None and line.idle_since is None)
 
+    def _leaving(self, letter, place, started):
+        """Right before the first byte: by when the last one must have left, 0 when none may go. Those that may not any
+        more end as not sent: the connection may have come up late, or this process may have stood still."""
+        now, by = self.clock(), math.inf
+        for held in letter.waiting()[0]:
+            at = self.leaves_by(held.evt, letter.sink, now) if self._place(letter.sink) == place else -math.inf
+            if at > now < letter.sends[held][0]:
+                by = min(by, at)
+            else:
+                letter.end(held, End(plain.KEPT, now - started))
+        letter.travel = letter.waiting()[0]
+        return by if letter.travel else 0.0
+
     def _latency(self, line, at, unix_at):
         """Ms from our write to the moment at which the kernel had the answer. Guards against our own slowness, which
         would be taken for the receiver's: what stood in the kernel until we came to read it does not count."""
@@ -114,12 +146,17 @@
         elif line is not None:
             line.close()
 
-    async def _end_the_last(self, letter, started):
-        """Events whose own time ends while others of the call still wait are told so: they won't go again."""
-        for until, held in sorted(((until, held) for held, (until, is_last) in letter.sends.items() if is_last),
-                                  key=lambda row: row[0]):
-            await anyio.sleep(max(0.0, until - self.clock()) / 1000.0)
-            letter.end(held, End(plain.TIMEOUT, self.clock() - started))
+    async def _end_before_others(self, letter, leaves_by, started):
+        """Events that can leave or wait for less long than others of their call are told so at once: before its first
+        byte as not sent; after it, those whose own time ends, as timed out. They won't go again."""
+        ends = [(by, held) for held, by in leaves_by.items()]
+        ends += [(until, held) for held, (until, is_last) in letter.sends.items() if is_last]
+        for moment, held in sorted(ends, key=lambda row: row[0]):
+            await anyio.sleep(max(0.0, moment - self.clock()) / 1000.0)
+            if not letter.travel:
+                letter.end(held, End(plain.KEPT, self.clock() - started))
+            elif letter.sends[held] == (moment, True):
+                letter.end(held, End(plain.TIMEOUT, self.clock() - started))
 
     async def _line(self, place):
         address = place[1]
@@ -133,21 +170,21 @@
     def _written(self, letter, until):
         """Target, headers and body of the call."""
         headers = [("Host", "endpoint"), ("X-Remaining", f"{max(1, int(until - self.clock()))}m")]
-        if len(letter.sends) == 1:
-            held, = letter.sends
+        if len(letter.travel) == 1:
+            held, = letter.travel
             headers.append(("X-Txn", held.ident))
             if held.key:
                 headers.append(("Idempotency-Key", held.key))
             return "/receive", headers, held.body
         rows = [{"id": held.ident, "body": base64.b64encode(held.body).decode()}
-                | ({"key": held.key} if held.key else {}) for held in letter.sends]
+                | ({"key": held.key} if held.key else {}) for held in letter.travel]
         return "/receive-many", [*headers, ("Content-Type", "application/json")], json.dumps(rows).encode()
 
     def _read(self, letter, answer, outcome, latency, fresh):
         """Give each event of the call its end. `fresh`: it was the first on its connection."""
         status, over, states = answer.status, False, {}
         told, report = _told(answer.headers), self._report(answer.headers)
-        if answer.first == 200 and len(letter.sends) == 1:
+        if answer.first == 200 and len(letter.travel) == 1:
             outcome = plain.ACKED       # whatever follows its first line
         elif status == 200:
             states = _states(answer)
--- /dev/null
+++ b/tests/test_bounds.py
@@ -0,0 +1,142 @@
+"""The bounds of a send hold for its bytes, however late its connection comes up: window, group, end, wait, drain."""
+import math
+import select
+import signal
+import socket
+import threading
+import time
+
+import pytest
+
+from helpers import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Endpoint, Program, Run, until
+from swiftthread.plain import StreamType
+
+ZONAL = DEDUPLICATED._replace(group="zone")
+SINKS = [("a", 0, 0, 0, 0.0, True), ("b", 0, 1, 0, 0.0, True), ("c", 0, 0, 0, 0.0, True)]
+
+
+class Deaf(Endpoint):
+    """From its first call on its queue of connections is full, and the kernel drops what asks for one, until `hear`.
+    Who asked meanwhile asks again a second later, as TCP does: its connection comes up late."""
+
+    def __init__(self, first, *script, after_s=0.0, **more):
+        self.heard, self.crowd = threading.Event(), []
+        super().__init__(lambda _body: (self._fill(), time.sleep(after_s), first)[2], *script, **more)
+
+    def _accept(self):
+        conn, _ = self.listener.accept()
+        self._serve(conn)
+        self.heard.wait()
+        super()._accept()
+
+    def _fill(self):
+        self.listener.listen(0)
+        while True:
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(self.listener.getsockname())
+            self.crowd.append(sock)
+            if not select.select([], [sock], [], 0.05)[1]:
+                return
+
+    def hear(self):
+        for sock in self.crowd:
+            sock.close()
+        self.heard.set()
+
+
+def maybe_ran(stream, sink="a"):
+    """A run at 1,000 ms, and an event of it whose first send, at 0 ms to this sink, may have run."""
+    run = Run([row for row in SINKS if row[0] == sink], streams=[stream]).play(0.0)
+    node = run.inst.node
+    evt = node.take(0.0, 0, 0, stream.max_age_ms)
+    assert node.where(evt, 0.0).sink.ident == sink
+    node.after(evt, "reset", 1000.0, 1000.0)
+    node.listed(SINKS, True, 1000.0)
+    return node, evt
+
+
+@pytest.mark.parametrize("stream, sink, by", [
+    (DEDUPLICATED, "a", 5988.0), (DEDUPLICATED, "b", 5988.0), (ZONAL, "a", 5988.0), (ZONAL, "c", 5988.0),
+    (ZONAL, "b", -math.inf), (ZONAL._replace(group="cell"), "a", 5988.0), (IDEMPOTENT, "b", 9988.0),
+    (ZONAL._replace(group="cell"), "c", -math.inf), (ZONAL._replace(window_ms=900.0), "a", -math.inf)])
+def test_a_send_after_one_that_may_have_run_leaves_inside_its_window_and_group(stream, sink, by):
+    node, evt = maybe_ran(stream)
+    assert node.leaves_by(evt, node.sinks[sink], 1000.0) == by
+    assert node.leaves_by(evt, node.sinks[sink], by if by > 0 else 5900.0) == -math.inf
+
+
+def test_a_send_leaves_neither_into_a_wait_nor_a_drain_nor_past_the_end_of_its_event():
+    run = Run(SINKS, streams=[NON_IDEMPOTENT]).play(0.0)
+    node = run.inst.node
+    evt, sink = node.take(0.0, 0, 0, 4000.0), node.sinks["a"]
+    assert node.leaves_by(evt, sink, 10.0) == 3988.0
+    node._told(sink.key, 500.0)
+    assert node.leaves_by(evt, sink, 499.0) == -math.inf < node.leaves_by(evt, sink, 500.0)
+    node.listed([("a", 0, 0, 0, 0.0, False)], False, 600.0)
+    assert node.leaves_by(evt, sink, 600.0) == -math.inf < node.leaves_by(evt, node.sinks["b"], 600.0)
+    node.withdrawn(evt, 700.0)
+    assert node.leaves_by(evt, node.sinks["b"], 700.0) == -math.inf
+
+
+def test_an_endpoint_that_comes_back_elsewhere_is_of_its_new_group():
+    node, evt = maybe_ran(ZONAL)
+    node.listed([("a", 0, 1, 0, 0.0, True), ("b", 0, 0, 0, 0.0, True), ("c", 0, 1, 0, 0.0, True)], True, 1100.0)
+    assert node.where(evt, 1100.0).sink.ident == "b"
+
+
+def test_what_travels_in_a_call_is_learnt_though_another_of_it_never_left():
+    run = Run([("a", 0, 0, 0, 4.0, True)], batch_by_kind=[5]).play(0.0)
+    node = run.inst.node
+    one, two = [node.take(0.0, 0, 0, 9000.0) for _ in range(2)]
+    assert node.where(one, 0.0).sink is node.where(two, 0.0).sink and one.call is two.call
+    due = node.sinks["a"].key.due
+    node.after(one, "kept", 10.0, 10.0)
+    node.after(two, "acked", 50.0, 50.0)
+    assert node.sinks["a"].acked_at == 50.0 and node.sinks["a"].key.due == due and one.sends == 0
+
+
+POSTING = {"Idempotency-Key": "k-1"}
+
+
+@pytest.mark.parametrize("group", ["zone", "all"])
+def test_a_connection_that_comes_up_after_the_window_carries_no_second_send(tmp_path, group):
+    """The fleet's zone+mass days: decided 4.7 s after the first send, its bytes left after 5.7 s of a window of 5.1."""
+    endpoint = Deaf("reset", 200, after_s=1.25)
+    streams = [{"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": group, "Window": 2.2}]
+    with Program(tmp_path, endpoint, Profiles=streams, Permissions={"ConnectTimeout": 4.0}) as node:
+        assert node.hand_in("posting", left="8000m", **POSTING) == 202
+        until(lambda: node.ledger().read_bytes().count(b'O["evt-1"') == 2)
+        endpoint.hear()
+        until(lambda: b'E["evt-1"]' in node.ledger().read_bytes())
+        assert node.notices() == {"evt-1": "given_up" if group == "zone" else "handed_back"}
+        assert len(endpoint.calls) == 1 and time.monotonic() - endpoint.calls[0][0] < 2.4
+
+
+@pytest.mark.parametrize("stream", ["notice", "once"])
+def test_an_event_whose_time_ends_before_its_connection_is_up_is_in_no_call(tmp_path, stream):
+    """It was told to have timed out and given up, and then travelled with the others of its call all the same."""
+    wait = (429, [("Retry-After", "0.3"), ("Connection", "close")], b"")
+    endpoint = Deaf(wait, lambda body: (200, [], b'[{"id":"evt-2","state":"done"},{"id":"evt-1","state":"done"}]'))
+    with Program(tmp_path, endpoint, Domain={"KindBatch": [5]}, Permissions={"ConnectTimeout": 4.0}) as node:
+        assert node.hand_in(stream, left="1000m") == 202
+        until(lambda: b'N["evt-1"]' in node.ledger().read_bytes())
+        assert node.hand_in(stream, left="4800m") == 202
+        until(lambda: node.notices() == {"evt-1": "handed_back"})
+        endpoint.hear()
+        until(lambda: b'E["evt-2"]' in node.ledger().read_bytes())
+        assert endpoint.calls[1][1] == "/receive" and endpoint.idents() == ["evt-1", "evt-2"]
+
+
+def test_a_process_that_stood_still_does_not_send_what_is_past_its_window(tmp_path):
+    endpoint = Deaf("reset", 200, after_s=1.25)
+    streams = [{"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": "zone", "Window": 2.2}]
+    with Program(tmp_path, endpoint, Profiles=streams, Permissions={"ConnectTimeout": 6.0}) as node:
+        assert node.hand_in("posting", left="8000m", **POSTING) == 202
+        until(lambda: node.ledger().read_bytes().count(b'O["evt-1"') == 2)
+        node.process.send_signal(signal.SIGSTOP)
+        endpoint.hear()
+        until(lambda: time.monotonic() - endpoint.calls[0][0] > 2.3)
+        node.process.send_signal(signal.SIGCONT)
+        until(lambda: node.notices() == {"evt-1": "given_up"})
+        assert len(endpoint.calls) == 1
