The log forgets no send that may have run: damage in it, a full disk, a write that broke off

After a restart the event went to another group. - a decision that the log could not take was told to the platform all the same: after a restart the node sent an event that its client had been told to hand in elsewhere. It is now noted in place, as the kind of the event's first record, for which a full disk has room; if even that fails it is told when the event's time is up. - one damaged byte cut off all that came after it, notes of sends included. What can be read is kept; any event taken before a stretch that can't be read counts as one that may have run, long ago and in no group. The start names file and bytes. A record torn at the very end, as a death leaves it, costs nothing, as before. - a write that broke off, and could not be cut, stayed in front of the records after it; it is cut before the next one. - a send that the log cannot take is no send: it counts no more against the event's sends (six of them were gone in 30 ms), and the log is asked again after 100 ms instead of each turn. - an owed event of a stream type that the settings no longer name ended the start with a traceback; it is given up, with one line. tests/test_node.py's torn record is now the beginning of a real one.

--- a/swiftthread/service/limits.py
+++ b/swiftthread/service/limits.py
@@ -8,6 +8,7 @@
 WATCH_QUIET_MS = 4500.0     # the watch sends an empty line every 2 s: two missed, and it is opened anew
 PLATFORM_MS = 1500.0        # an answer of discovery or to a notice, which the pages say comes at once
 NOTICE_PAUSE_MS = 150.0     # before a notice is repeated that was not answered 204; half of the slack it has
+LOG_PAUSE_MS = 100.0        # before a log that took nothing is asked again; an SLO time has room for several
 ANSWERING_MS = 600.0        # after SIGTERM: new connections come for 0.4 s and are answered
 SENDING_MS = 2800.0         # after SIGTERM: sends go on; what is out after it still gets its time until the end
 STOP_MS = 3400.0            # after SIGTERM: the end, 0.3 s before the SIGKILL
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -6,6 +6,7 @@
 
 from swiftthread import plain
 from swiftthread.choice import Dispatcher
+from swiftthread.service import limits as bounds
 from swiftthread.service.choices import Intake
 from swiftthread.wire.courier import End
 
@@ -56,6 +57,10 @@
     def resume(self):
         """What the log says is still owed."""
         for held in list(self.ledger.held.values()):
+            if held.stream not in self.streams:
+                logger.error("{} is owed, but of a stream type that is no more: {}; it is given up", held.ident, held.stream)
+                self.tasks.start_soon(self.tell, held, OUTCOMES[plain.Discard], 0.0)
+                continue
             self.begin(held)
             if held.decision is not None:
                 self.module.withdrawn(held.evt, self.clock())
@@ -68,13 +73,22 @@
         except Exception:       # guards the other events: a fault ends this one alone, and nothing is promised of it
             logger.exception("the life of an event failed; it is given up")
             self.module.withdrawn(held.evt, self.clock())
-            self.ledger.decided(held, OUTCOMES[plain.Discard], 0.0)
+            held.decision = (OUTCOMES[plain.Discard], 0.0)
         self.turns.over(held.evt)
         if held.decision is not None:
-            await self.notices.tell(held.ident, *held.decision)
-        self.ledger.ended(held)
+            await self.tell(held, *held.decision)
+        else:
+            self.ledger.ended(held)
         self.held_bytes -= len(held.body)
 
+    async def tell(self, held, outcome, come_back_ms):
+        """Tell the platform of a decision once it is in the log, or the event's time is up: a process that comes back
+        and knows nothing of it would send an event that its client has handed in elsewhere."""
+        while not self.ledger.decided(held, outcome, come_back_ms) and self.wall() < held.ends_at:
+            await anyio.sleep(bounds.LOG_PAUSE_MS / 1000.0)
+        await self.notices.tell(held.ident, outcome, come_back_ms)
+        self.ledger.ended(held)
+
     async def deliver(self, held):
         """Ask, send, learn, until it is over or a decision is in the log."""
         evt = held.evt
@@ -82,16 +96,22 @@
             now, answer = await self.turns.ask(evt)
             if isinstance(answer, plain.Send):
                 noted = self.ledger.sent(held, evt.sent_group)
-                end = await self.courier.carry(held, answer) if noted else End(plain.KEPT, 0.0)
+                end = await self.courier.carry(held, answer) if noted else await self.kept()
                 now = await self.turns.tell()
                 answer = self.module.after(evt, end.outcome, now, end.latency, end.told, end.over, end.report)
                 self.turns.learnt(evt.dest)
-                if end.outcome in plain.NEVER_RAN:
+                if noted and end.outcome in plain.NEVER_RAN:    # else it is an earlier send that the log has as out
                     self.ledger.never_ran(held)
                 if end.over:
                     break
             if not isinstance(answer, plain.Later):
-                self.ledger.decided(held, OUTCOMES[type(answer)], getattr(answer, "come_back_ms", 0.0))
+                held.decision = OUTCOMES[type(answer)], getattr(answer, "come_back_ms", 0.0)
+
+    @staticmethod
+    async def kept():
+        """The end of a send that the log cannot take: none. Not at once, or a full disk would be asked all the time."""
+        await anyio.sleep(bounds.LOG_PAUSE_MS / 1000.0)
+        return End(plain.KEPT, 0.0)
 
     def each_turn(self, now, moved, late):
         """What a turn leads to besides events: calls leave, clients are let in, probes, idle connections, the list."""
--- a/swiftthread/service/start.py
+++ b/swiftthread/service/start.py
@@ -40,6 +40,9 @@
     try:
         if ledger.cut_off:
             logger.warning("{} bytes at the end of the log were torn and are cut off", ledger.cut_off)
+        for begin, end in ledger.unread:
+            logger.error("{}: bytes {} to {} are none of this program's records; what was taken before them is held to"
+                         " have been sent", ledger.path, begin, end)
         async with anyio.create_task_group() as tasks:
             buffers, lines = Buffers(), Lines(clock, limits.most_idle, limits.idle_lines)
             registry = Registry(told.discovery, buffers, told.kinds, told.zones, bounds.WATCH_QUIET_MS,
--- a/swiftthread/store/ledger.py
+++ b/swiftthread/store/ledger.py
@@ -2,16 +2,26 @@
 
 One file of records, each with a checksum. What the kernel has taken outlasts the process, so nothing is
 synced. The file is written anew, live events only, when it would pass its part of the disk.
+
+What cannot be read is passed over, and what it may have said is taken for said: any event taken before it may have run.
+A decision for which there is no room on the disk is noted in place, as the kind of the event's first record.
 """
 import json
 import os
+import re
 import struct
 import zlib
+from itertools import accumulate
 
 from loguru import logger
 
 HEAD = struct.Struct("<IIc")    # checksum of all that follows it, length of the payload, kind
 TAKEN, STATE, SENT, NEVER_RAN, DECIDED, ENDED = b"T", b"S", b"O", b"N", b"D", b"E"
+GIVEN_UP, HANDED_BACK = b"G", b"H"      # in the place of TAKEN, whose checksum it keeps: taken, and decided
+IN_PLACE = {"given_up": GIVEN_UP, "handed_back": HANDED_BACK}
+KIND_AT = HEAD.size - 1
+KINDS = re.compile(b"[TSONDEGH]")
+UNKNOWN = (0.0, None)   # a send of which nothing is known but that it may have run: long ago, in no group
 FILE_SHARE = 0.45       # of the disk: the old file and the new one lie there together while it is rewritten
 LIVE_SHARE = 0.35       # of the disk: what events held may need, so that a rewritten file has room to grow
 RESERVE = 100           # bytes beside the id of each record that an event may need later: state, send, decision
@@ -26,6 +36,7 @@
         self.ident, self.key, self.stream, self.dest, self.ends_at = ident, key, stream, dest, ends_at
         self.tenant, self.subject, self.body = tenant, subject, body
         self.sends, self.out, self.maybe, self.decision, self.evt, self.cost = 0, None, None, None, None, 0
+        self.at, self.logged = 0, False     # where its first record stands in the file; whether its decision does
 
     def record(self):
         head = json.dumps([self.ident, self.key, self.stream, self.dest, self.ends_at, self.tenant,
@@ -42,15 +53,29 @@
 
 
 def records(data):
-    """(end, kind, payload) of each whole record, up to the first that is torn or damaged."""
-    at = 0
-    while at + HEAD.size <= len(data):
+    """(begin, end, kind, payload) of each whole record; kind None for a stretch between them that is none."""
+    at = read = 0
+    while found := KINDS.search(data, at + KIND_AT):
+        at = found.start() - KIND_AT
         check, length, kind = HEAD.unpack_from(data, at)
-        end = at + HEAD.size + length
-        if end > len(data) or zlib.crc32(data[at + 4:end]) != check:
-            return
-        yield end, kind, data[at + HEAD.size:end]
-        at = end
+        end, first = at + HEAD.size + length, TAKEN if kind in IN_PLACE.values() else kind
+        if end > len(data) or zlib.crc32(data[at + HEAD.size:end], zlib.crc32(data[at + 4:at + KIND_AT] + first)) != check:
+            at += 1
+            continue
+        if at > read:
+            yield read, at, None, b""
+        yield at, end, kind, data[at + HEAD.size:end]
+        at = read = end
+    if read < len(data):
+        yield read, len(data), None, b""
+
+
+def torn(rest):
+    """Whether these bytes can be a record of which a process wrote the beginning as it died."""
+    if len(rest) < HEAD.size:
+        return True
+    _, length, kind = HEAD.unpack_from(rest)
+    return KINDS.fullmatch(kind) is not None and HEAD.size + length > len(rest)
 
 
 class Ledger:
@@ -59,7 +84,9 @@
     def __init__(self, folder, disk_bytes, wall):
         self.path, self.new_path = os.path.join(folder, NAME), os.path.join(folder, NEW_NAME)
         self.most, self.most_live, self.wall = int(FILE_SHARE * disk_bytes), int(LIVE_SHARE * disk_bytes), wall
-        self.held, self.live, self.cut_off = {}, 0, 0
+        self.held, self.live = {}, 0
+        self.cut_off, self.unread = 0, []   # bytes of a record torn at the end; (begin, end) of what could not be read
+        self.is_cut = True      # False: a write broke off, and what it left at the end is still there
         self.over = {}      # id of an ended event -> when; emptied as they grow old
         if os.path.exists(self.new_path):
             os.unlink(self.new_path)
@@ -73,19 +100,42 @@
     def _replay(self):
         with open(self.path, "rb") as source:
             data = source.read()
-        self.size = 0
-        for self.size, kind, payload in records(data):
-            self._note(kind, payload)
-        self.cut_off = len(data) - self.size
-        if self.cut_off:
-            os.ftruncate(self.file, self.size)
+        self.size = len(data)
+        for begin, end, kind, payload in records(data):
+            if kind is None and end == len(data) and torn(data[begin:end]):
+                self.cut_off, self.size = end - begin, begin
+                os.ftruncate(self.file, begin)
+            elif kind is None or not self._noted(begin, kind, payload):
+                self._unread(begin, end)
         for held in self.held.values():
             held.maybe = held.maybe or held.out     # a send that was out at death may have run
+        if self.unread:
+            try:
+                self._rewrite()
+            except OSError as fault:    # it stays as it is, and is read the same the next time
+                logger.error("the log cannot be written anew: {}", fault.strerror)
+
+    def _unread(self, begin, end):
+        """Here a send, or its end, may have been noted of any event taken before."""
+        self.unread.append((begin, end))
+        for held in self.held.values():
+            held.maybe = UNKNOWN
+
+    def _noted(self, at, kind, payload):
+        """False when the record says nothing that can be understood."""
+        try:
+            self._note(at, kind, payload)
+        except (ValueError, TypeError, KeyError, struct.error):
+            return False
+        return True
 
-    def _note(self, kind, payload):
-        if kind == TAKEN:
+    def _note(self, at, kind, payload):
+        if kind == TAKEN or kind in IN_PLACE.values():
             size, = struct.unpack_from("<I", payload)
             held = Held(*json.loads(payload[4:4 + size]), payload[4 + size:])
+            held.at = at
+            held.decision = {GIVEN_UP: ("given_up", 0.0), HANDED_BACK: ("handed_back", 0.0)}.get(kind)
+            held.logged = held.decision is not None
             self._hold(held, HEAD.size + len(payload))
             return
         ident, *rest = json.loads(payload)
@@ -99,7 +149,7 @@
         elif kind == STATE:
             held.sends, held.maybe = rest[0], tuple(rest[1]) if rest[1] else None
         elif kind == DECIDED:
-            held.decision = tuple(rest)
+            held.decision, held.logged = tuple(rest), True
         elif kind == ENDED:
             self._drop(held)
 
@@ -112,27 +162,32 @@
             self.live -= held.cost
 
     def _append(self, data):
+        if not self.is_cut:
+            os.ftruncate(self.file, self.size)
+            self.is_cut = True
         if self.size + len(data) > self.most:
             self._rewrite()
-        self._write(self.file, data, self.size)
-        self.size += len(data)
-
-    @staticmethod
-    def _write(file, data, size):
-        """All of the data, or none of it and an OSError."""
-        left = memoryview(data)
+        self.is_cut = False
         try:
-            while left:
-                left = left[os.write(file, left):]
+            self._write(self.file, data)
         except OSError:
-            os.ftruncate(file, size)
+            os.ftruncate(self.file, self.size)      # all of it, or none
+            self.is_cut = True
             raise
+        self.is_cut, self.size = True, self.size + len(data)
+
+    @staticmethod
+    def _write(file, data):
+        left = memoryview(data)
+        while left:
+            left = left[os.write(file, left):]
 
     def _rewrite(self):
-        parts = []
+        parts, places = [], []      # of each event: what is written of it; where that begins
         for held in self.held.values():
+            places.append(len(parts))
             parts.append(held.record())
-            if held.sends:
+            if held.sends or held.maybe:
                 parts.append(record(STATE, json.dumps([held.ident, held.sends, held.maybe]).encode()))
             if held.out:
                 # Written as a send of its own, for its end may still be that it never ran.
@@ -143,13 +198,17 @@
         data = b"".join(parts)
         file = os.open(self.new_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
-            self._write(file, data, 0)
+            self._write(file, data)
             os.replace(self.new_path, self.path)
         except BaseException:
             os.close(file)
+            os.unlink(self.new_path)
             raise
         os.close(self.file)
-        self.file, self.size = file, len(data)
+        self.file, self.size, self.is_cut = file, len(data), True
+        starts = [0, *accumulate(map(len, parts))]
+        for held, place in zip(self.held.values(), places):
+            held.at = starts[place]
 
     def _said(self, kind, *values):
         """False when the log could not take it: after a restart the event may then be owed for longer."""
@@ -178,6 +237,7 @@
         except OSError as fault:
             logger.error("the log cannot take an event: {}", fault.strerror)
             return False
+        held.at = self.size - len(data)
         self._hold(held, len(data))
         return True
 
@@ -194,8 +254,23 @@
         self._said(NEVER_RAN, held.ident)
 
     def decided(self, held, outcome, retry_in_ms):
+        """False when the log cannot take it, not even in place: a restart would not know of it."""
         held.decision = (outcome, retry_in_ms)
-        self._said(DECIDED, held.ident, outcome, retry_in_ms)
+        held.logged = held.logged or self._said(DECIDED, held.ident, outcome, retry_in_ms) \
+            or self._in_place(held, IN_PLACE[outcome])
+        return held.logged
+
+    def _in_place(self, held, kind):
+        """What has its bytes already needs no room."""
+        try:
+            file = os.open(self.path, os.O_WRONLY)      # not the one that appends whatever the place
+            try:
+                return os.pwrite(file, kind, held.at + KIND_AT) == 1
+            finally:
+                os.close(file)
+        except OSError as fault:
+            logger.error("the log cannot be changed: {}", fault.strerror)
+            return False
 
     def ended(self, held):
         self._drop(held)
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,220 @@
+"""The log when it is torn, damaged, foreign or full: what was taken keeps its end, and nothing is sent twice for it."""
+import json
+import os
+import resource
+import signal
+import time
+
+import pytest
+
+from helpers import Endpoint, Program, lane, until
+from swiftthread.store import ledger as module
+from swiftthread.store.ledger import DECIDED, ENDED, NAME, SENT, UNKNOWN, Held, Ledger, record
+
+DISK = 3_000_000
+
+
+def open_at(folder):
+    return Ledger(str(folder), DISK, lambda: 1000.0)
+
+
+def held(ident, body=b"body"):
+    return Held(ident, "", "once", 1, 9000.0, 0, 0, body)
+
+
+def three(folder):
+    """A log of three events: the first sent, the second not, the third sent and said to have never run; and where
+    each record begins."""
+    ledger, events, places = open_at(folder), [held(f"evt-{number}") for number in range(3)], []
+    for event in events:
+        places.append(ledger.size)
+        assert ledger.taken(event)
+    for event in (events[2], events[0]):
+        places.append(ledger.size)
+        assert ledger.sent(event, 1)
+    places.append(ledger.size)
+    ledger.never_ran(events[2])
+    places.append(ledger.size)
+    ledger.close()
+    return places
+
+
+def known(ledger):
+    """Id -> the send that may have run, of each event held; the ledger is closed."""
+    ledger.close()
+    return {ident: event.maybe for ident, event in ledger.held.items()}
+
+
+def test_a_log_cut_at_any_byte_keeps_all_before_the_torn_record(tmp_path):
+    places = three(tmp_path)
+    whole = (tmp_path / NAME).read_bytes()
+    for size in range(len(whole) + 1):
+        (tmp_path / NAME).unlink()
+        (tmp_path / NAME).write_bytes(whole[:size])
+        ledger = open_at(tmp_path)
+        kept = sum(place <= size for place in places[1:])
+        assert not ledger.unread and ledger.cut_off == size - places[kept] and ledger.size == places[kept]
+        said = known(ledger)
+        assert list(said) == [f"evt-{number}" for number in range(min(kept, 3))]
+        assert said.get("evt-2") == ((1000.0, 1) if kept in (4, 5) else None)
+        assert said.get("evt-0") == ((1000.0, 1) if kept >= 5 else None)
+
+
+def test_a_damaged_byte_anywhere_leaves_what_was_before_as_maybe_run_and_what_comes_after_as_it_is(tmp_path):
+    places = three(tmp_path)
+    whole = (tmp_path / NAME).read_bytes()
+    for at in range(0, places[-1], 3):
+        (tmp_path / NAME).unlink()
+        (tmp_path / NAME).write_bytes(whole[:at] + bytes([whole[at] ^ 0x55]) + whole[at + 1:])
+        ledger = open_at(tmp_path)
+        number = sum(place <= at for place in places[1:])
+        if number == 5 and not ledger.unread:       # its length is damaged: it cannot be told from one torn at the end
+            assert ledger.cut_off == places[-1] - places[5] and ledger.held["evt-2"].maybe
+            ledger.close()
+            continue
+        said = known(ledger)
+        assert ledger.unread == [(places[number], places[number + 1])] and not ledger.cut_off
+        assert list(said) == [f"evt-{event}" for event in range(3) if event != number]
+        for event in range(min(number, 3)):
+            assert said[f"evt-{event}"] == UNKNOWN
+        if number < 3:      # the notes after it still count
+            assert said.get("evt-2") is None and said.get("evt-0", (1000.0, 1)) in ((1000.0, 1), UNKNOWN)
+        again = open_at(tmp_path)       # it was written anew
+        assert not again.unread and known(again) == said
+
+
+def test_a_foreign_file_is_named_and_leaves_a_log_that_serves(tmp_path):
+    (tmp_path / NAME).write_bytes(b"TSONDE, all of it words of another program\n" * 300)
+    ledger = open_at(tmp_path)
+    assert ledger.unread == [(0, 12900)] and not ledger.held and ledger.taken(held("evt-1"))
+    ledger.close()
+    assert list(known(open_at(tmp_path))) == ["evt-1"]
+
+
+def test_a_record_of_another_version_is_passed_over(tmp_path):
+    three(tmp_path)
+    with open(tmp_path / NAME, "ab") as log:
+        log.write(record(SENT, b'["evt-1"]') + record(DECIDED, b"{}") + record(ENDED, b'["evt-0"]'))
+    ledger = open_at(tmp_path)
+    assert len(ledger.unread) == 2 and known(ledger) == {"evt-1": UNKNOWN, "evt-2": UNKNOWN}
+
+
+@pytest.fixture
+def full():
+    """Call it with a path: files of this process grow no more past that one's size, until the test ends."""
+    before = resource.getrlimit(resource.RLIMIT_FSIZE)
+    yield lambda path: resource.setrlimit(resource.RLIMIT_FSIZE, (os.path.getsize(path), before[1]))
+    resource.setrlimit(resource.RLIMIT_FSIZE, before)
+
+
+@pytest.mark.parametrize("outcome", ["given_up", "handed_back"])
+def test_a_decision_is_in_the_log_though_the_disk_is_full(tmp_path, full, outcome):
+    ledger, events = open_at(tmp_path), [held("evt-0"), held("evt-1"), held("evt-2")]
+    assert all(map(ledger.taken, events))
+    full(tmp_path / NAME)
+    assert not ledger.sent(events[1], 1) and not ledger.taken(held("evt-3"))
+    assert ledger.decided(events[1], outcome, 500.0)
+    ledger.close()
+    ledger = open_at(tmp_path)
+    assert [event.decision for event in ledger.held.values()] == [None, (outcome, 0.0), None] and not ledger.unread
+
+
+def test_what_a_write_that_broke_off_left_is_cut_before_the_next_one(tmp_path, monkeypatch):
+    """Left there, it and all after it would be lost to the next start, notes of sends included."""
+    ledger, events = open_at(tmp_path), [held("evt-0"), held("evt-1")]
+    assert all(map(ledger.taken, events))
+    write, cut = os.write, os.ftruncate
+
+    def half(file, data):
+        write(file, bytes(data[:9]))
+        raise OSError(28, "No space left on device")
+
+    def no_cut(file, size):
+        raise OSError(5, "Input/output error")
+    monkeypatch.setattr(module.os, "write", half), monkeypatch.setattr(module.os, "ftruncate", no_cut)
+    assert not ledger.sent(events[0], 1) and not ledger.sent(events[0], 1)
+    monkeypatch.setattr(module.os, "write", write), monkeypatch.setattr(module.os, "ftruncate", cut)
+    assert ledger.sent(events[1], 1)
+    ledger.close()
+    ledger = open_at(tmp_path)
+    assert known(ledger) == {"evt-0": None, "evt-1": (1000.0, 1)} and not ledger.cut_off + len(ledger.unread)
+
+
+def limit_files(node, size):
+    hard = resource.prlimit(node.process.pid, resource.RLIMIT_FSIZE)[1]
+    resource.prlimit(node.process.pid, resource.RLIMIT_FSIZE, (size, hard))
+
+
+STREAMS = [lane("notice", "retryable"), lane("once", "fragile", Deadline=9.0),
+           lane("posting", "dedup", Group="zone", Window=6.0, Deadline=9.0)]
+
+
+def test_a_full_disk_wipes_no_note_of_a_send_that_may_have_run(tmp_path):
+    """The second send cannot be noted, so it does not go; it was struck from the log as one that never ran, and the
+    first with it: after a restart the event went to the other group."""
+    other = Endpoint(ident="s-2")
+    other.entry = lambda entry=other.entry: entry() | {"zone": "west"}
+    first = Endpoint("reset", 200)
+    with Program(tmp_path, first, Profiles=STREAMS) as node:
+        sizes = []
+        first.script[0] = lambda _body: (sizes.append(os.path.getsize(node.ledger())), limit_files(node, sizes[0]),
+                                         "reset")[2]
+        assert node.hand_in("posting", left="8000m", **{"Idempotency-Key": "k"}) == 202
+        until(lambda: sizes)
+        time.sleep(0.3)
+        limit_files(node, resource.RLIM_INFINITY)
+        until(lambda: len(first.calls) == 2 or os.path.getsize(node.ledger()) > sizes[0])
+        node.stop(signal.SIGKILL)
+        first.cut()
+        node.discovery.page["servers"][:] = [other.entry()]
+        node.parts["known"] = node.discovery.page
+        node.start()
+        until(lambda: node.notices() or other.calls or b'E["evt-1"]' in node.ledger().read_bytes())
+        assert not other.calls
+
+
+def test_an_event_handed_back_on_a_full_disk_is_not_sent_after_a_restart(tmp_path):
+    endpoint = Endpoint(503)
+    with Program(tmp_path, endpoint, Profiles=STREAMS, Permissions={"TryLimit": 1}) as node:
+        def call(_body):
+            limit_files(node, os.path.getsize(node.ledger()))
+            return 503
+        endpoint.script[0] = call
+        assert node.hand_in("once", left="8000m") == 202
+        until(lambda: node.notices() == {"evt-1": "handed_back"})
+        node.stop(signal.SIGKILL)
+        endpoint.script[:] = [200]
+        node.start()
+        until(lambda: b'E["evt-1"]' in node.ledger().read_bytes())
+        assert node.hand_in("once") == 202
+        until(lambda: len(endpoint.calls) == 2)
+        assert endpoint.idents() == ["evt-1", "evt-2"] and set(node.notices()) == {"evt-1"}
+
+
+def test_an_event_of_a_stream_type_that_is_no_more_is_given_up(tmp_path):
+    endpoint = Endpoint(None)
+    with Program(tmp_path, endpoint, Profiles=STREAMS) as node:
+        assert node.hand_in("once") == 202
+        node.stop(signal.SIGKILL)
+        node.parts["settings"]["Profiles"] = STREAMS[:1]
+        node.conf.write_text(json.dumps(node.parts))
+        node.start()
+        until(lambda: node.notices() == {"evt-1": "given_up"})
+        assert "a stream type that is no more: once" in node.said()
+
+
+def test_a_damaged_log_is_named_at_the_start_and_what_may_have_run_is_not_sent(tmp_path):
+    endpoint = Endpoint(None)
+    with Program(tmp_path, endpoint, Profiles=STREAMS, Domain={"CallsOut": 1}) as node:
+        assert node.hand_in("once") == 202
+        until(lambda: endpoint.calls)
+        assert node.hand_in("once") == node.hand_in("notice") == 202    # taken after what will be damaged
+        node.stop(signal.SIGKILL)
+        log = bytearray(node.ledger().read_bytes())
+        log[log.index(b'O["evt-1"') + 5] ^= 1
+        node.ledger().write_bytes(log)
+        endpoint.script[:], endpoint.calls[:] = [200], []
+        node.start()
+        until(lambda: len(endpoint.calls) == 2 and node.notices())
+        assert node.notices() == {"evt-1": "given_up"} and set(endpoint.idents()) == {"evt-2", "evt-3"}
+        assert "none of this program's records" in node.said()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,6 +15,7 @@
 from helpers import Discovery, Endpoint, Program, until
 from swiftthread.choice import Sink
 from swiftthread.plain import Destination
+from swiftthread.store.ledger import record
 
 REFUSED = (429, [("Retry-After", "0.6")], b"")
 
@@ -354,7 +355,7 @@
         out = set(endpoint.idents())
         assert node.stop(signal.SIGKILL) == -9
         with open(node.ledger(), "ab") as torn:
-            torn.write(b"\x07\x00\x00\x00half a record")
+            torn.write(record(b"O", b'["evt-2", half a record]')[:-9])
         endpoint.script[:], endpoint.calls[:] = [200], []
         node.discovery.refusing = 3
         node.start()
