--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -174,21 +174,27 @@
 
 
 def test_an_event_handed_back_on_a_full_disk_is_not_sent_after_a_restart(tmp_path):
-    endpoint = Endpoint(503)
-    with Program(tmp_path, endpoint, Profiles=STREAMS, Permissions={"TryLimit": 1}) as node:
-        def call(_body):
-            limit_files(node, os.path.getsize(node.ledger()))
-            return 503
-        endpoint.script[0] = call
-        assert node.hand_in("once", left="8000m") == 202
-        until(lambda: node.notices() == {"evt-1": "handed_back"})
+    """Its client was told to hand it in elsewhere; here it was still owed."""
+    endpoint, silent = Endpoint((429, [("Retry-After", "2.9")], b"")), Endpoint(None, ident="s-2", cell=2)
+    with Program(tmp_path, endpoint, silent, Profiles=STREAMS, Permissions={"MaxOpen": 10}) as node:
+        def hand_in(number, dest=1):
+            assert node.hand_in("once", left="8000m", ident=f"evt-{number}", dest=dest) == 202
+            return os.path.getsize(node.ledger())
+        hand_in(10, dest=2), hand_in(11)
+        until(lambda: b'N["evt-11"]' in node.ledger().read_bytes() and silent.calls)
+        sizes = [hand_in(number) for number in range(12, 19)]       # held back by the wait
+        limit_files(node, sizes[-1] + 80)       # room for one more, some 70 bytes, and none for a decision
+        hand_in(19)
+        until(node.notices)
         node.stop(signal.SIGKILL)
-        endpoint.script[:] = [200]
+        back, endpoint.script[:], endpoint.calls[:] = node.notices(), [200], []
+        node.parts["settings"]["Permissions"]["MaxOpen"] = 50
+        node.conf.write_text(json.dumps(node.parts))
         node.start()
-        until(lambda: b'E["evt-1"]' in node.ledger().read_bytes())
-        assert node.hand_in("once") == 202
-        until(lambda: len(endpoint.calls) == 2)
-        assert endpoint.idents() == ["evt-1", "evt-2"] and set(node.notices()) == {"evt-1"}
+        until(lambda: len(endpoint.calls) >= 8 and "evt-10" in node.notices())
+        until(lambda: b'E["%s"]' % list(back)[0].encode() in node.ledger().read_bytes())
+        assert list(back.values()) == ["handed_back"] and node.notices() == back | {"evt-10": "given_up"}
+        assert len(endpoint.calls) == 8 and not set(back) & set(endpoint.idents())
 
 
 def test_an_event_of_a_stream_type_that_is_no_more_is_given_up(tmp_path):
