A call given up is reset, so that nothing of it arrives later; lists of 1,024 and unclear groups

Need: how late may a send's bytes arrive, how large may the lists be, and what is read of a zone or group that nobody named.

Struck out: the courier (it had written inside the bounds).

Change: a call that ends without its whole answer is closed by a reset; one whose bytes the other machine has not acknowledged by the end of the bounds is given up then (TIOCOUTQ). A zone that the settings don't name is a group of its own (it was the first zone's), also after a restart; unknown effects, groups and windows are named at the start and read the cautious way; a length of time that is none ends the start with one line. The listener's queue held 512; it grows with the sockets told, 1,024 at least.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -194,7 +194,7 @@
         return stream.utility
 
     def listed(self, entries, whole, now):
-        named = set()
+        named, grown = set(), {}
         for ident, dest_no, zone, kind, rate, ready in entries:
             dest = self.dests.setdefault(dest_no, Destination(dest_no))
             if ident not in self.sinks and not ready:
@@ -216,7 +216,9 @@
             sink.batch = self.batch_by_kind[kind] if kind < len(self.batch_by_kind) else 1
             sink.fee = self.fees[zone] if apart and zone < len(self.fees) else 0.0
             if ready and sink not in dest.sinks:
-                dest.sinks = sorted(dest.sinks + [sink], key=lambda s: (s.fee, s.order))
+                grown[dest] = dest.sinks = dest.sinks + [sink]
+        for dest in grown:
+            dest.sinks.sort(key=lambda s: (s.fee, s.order))
         for sink in [s for s in self.sinks.values() if not s.ready or (whole and s.ident not in named)]:
             sink.ready = False
             if sink in sink.dest.sinks:
--- a/swiftthread/service/limits.py
+++ b/swiftthread/service/limits.py
@@ -13,6 +13,7 @@
 SENDING_MS = 2800.0         # after SIGTERM: sends go on; what is out after it still gets its time until the end
 STOP_MS = 3400.0            # after SIGTERM: the end, 0.3 s before the SIGKILL
 
+LEAST_BACKLOG = 1024        # connections waiting to be accepted: as many nodes or clients may come at one moment
 RESERVED_SOCKETS = 32       # the loop's own, log, listener, discovery, notices, and some for accepts to be refused
 IDLE_SHARE = 0.25           # of the sockets: idle connections to endpoints
 KEPT_SHARE = 0.125          # of the sockets: client connections kept between requests; clients may hold a third in all
@@ -28,6 +29,7 @@
         slots = int(slots) if slots and slots < sockets else sockets // 4
         self.idle_lines = max(4, int(IDLE_SHARE * sockets) - slots)
         self.clients = max(4, sockets - RESERVED_SOCKETS - self.idle_lines - 2 * slots)
+        self.backlog = max(LEAST_BACKLOG, sockets)
         self.kept_clients = max(4, int(KEPT_SHARE * sockets))
         self.disk = int(float(told.get("disk_mb") or 3) * DISK_MB)
         # An idle connection is closed by the endpoint at its time or before: ours ends a fifth earlier.
--- a/swiftthread/service/start.py
+++ b/swiftthread/service/start.py
@@ -38,6 +38,8 @@
     limits = bounds.Limits(told.limits, terms.get("slots"), terms.get("keepalive_ms", 60000.0), terms.get("connect_ms"))
     ledger = Ledger(told.state, limits.disk, wall)
     try:
+        for line in told.doubts:
+            logger.warning(line)
         if ledger.cut_off:
             logger.warning("{} bytes at the end of the log were torn and are cut off", ledger.cut_off)
         for begin, end in ledger.unread:
@@ -60,7 +62,7 @@
             tasks.start_soon(node.notices.run)
             tasks.start_soon(node.turns.run, node.each_turn)
             tasks.start_soon(node.follow, registry)
-            listener = listening(told.listen)
+            listener = listening(told.listen, limits.backlog)
             try:
                 with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
                     tasks.start_soon(door.serve, listener, tasks)
--- a/swiftthread/service/told.py
+++ b/swiftthread/service/told.py
@@ -1,7 +1,7 @@
 """What a node is told at start: its configuration, read and checked once."""
 import json
 
-from swiftthread.terms import Malformed, names_of, terms_of
+from swiftthread.terms import Malformed, doubts, names_of, terms_of
 from swiftthread.wire.line import address_of
 
 
@@ -30,10 +30,13 @@
             self.state = environ.get("LB_STATE") or conf["state"]
             self.seed, self.known, self.limits = int(str(conf["seed"]), 16), conf.get("known"), conf.get("limits") or {}
             self.terms, self.report_names = terms_of(conf["settings"])
+            self.doubts = list(doubts(conf["settings"]))
             if not isinstance(self.known, dict):
                 self.known = None       # the watch will tell
             self.later = {part: conf.get(part) for part in LATER}
             self.streams, self.kinds, self.zones, self.tenants = names_of(conf["settings"])
+        except Malformed as fault:
+            raise Malformed(f"the configuration {path}: {fault}") from None
         except KeyError as fault:
             raise Malformed(f"the configuration lacks {fault}") from None
         except (ValueError, TypeError, AttributeError) as fault:
--- a/swiftthread/terms.py
+++ b/swiftthread/terms.py
@@ -1,5 +1,6 @@
 """The one reader of the start object that an instance is handed, on the drill's wire or on sockets."""
 import json
+import math
 
 from swiftthread import plain
 
@@ -11,7 +12,10 @@
 
 
 def ms(seconds):
-    return 1000.0 * (seconds or 0.0)
+    value = 1000.0 * (seconds or 0.0)
+    if not math.isfinite(value):
+        raise ValueError(f"{seconds} is no length of time")
+    return value
 
 
 def start_terms(text):
@@ -27,11 +31,7 @@
     try:
         domain, rules = conf.get("Domain") or {}, conf.get("Obligations") or {}
         allowed, stats = conf.get("Permissions") or {}, conf.get("Stats") or {}
-        streams = [plain.StreamType(
-            slo_ms=ms(row.get("Aim")), max_age_ms=ms(row.get("Deadline")), utility=row.get("Value", 1.0),
-            late_utility=row.get("LateWorth", 0.0), effect=EFFECTS.get(row.get("Effect"), plain.NON_IDEMPOTENT),
-            group=row.get("Group", "cell"), window_ms=ms(row.get("Window")), in_order=bool(row.get("InTurn")))
-            for row in conf.get("Profiles") or ()]
+        streams = [stream_of(number, row) for number, row in enumerate(conf.get("Profiles") or ())]
         terms = {
             "streams": streams, "nodes": conf.get("Balancers"), "position": conf.get("Position"),
             "slots": domain.get("CallsOut"), "room": allowed.get("MaxOpen"), "most_sends": allowed.get("TryLimit"),
@@ -51,6 +51,30 @@
     return {name: value for name, value in terms.items() if value is not None}, stats.get("Fields") or []
 
 
+def stream_of(number, row):
+    """A stream type from its profile. What cannot be understood of its effect is read the cautious way."""
+    try:
+        return plain.StreamType(
+            slo_ms=ms(row.get("Aim")), max_age_ms=ms(row.get("Deadline")), utility=row.get("Value", 1.0),
+            late_utility=row.get("LateWorth", 0.0), effect=EFFECTS.get(row.get("Effect"), plain.NON_IDEMPOTENT),
+            group=row.get("Group", "cell"), window_ms=ms(row.get("Window")), in_order=bool(row.get("InTurn")))
+    except (ValueError, AttributeError, TypeError) as fault:
+        raise Malformed(f"the settings' Profiles[{number}] cannot be read: {fault}") from None
+
+
+def doubts(conf):
+    """A line for each part of the settings that was read the cautious way."""
+    for number, row in enumerate(conf.get("Profiles") or ()):
+        where = f"the settings' Profiles[{number}] ({row.get('Name')})"
+        if row.get("Effect") not in EFFECTS:
+            yield f"{where}: Effect is none of {', '.join(EFFECTS)}: {row.get('Effect')!r}; it is held to be non-idempotent"
+        elif EFFECTS[row["Effect"]] == plain.DEDUPLICATED:
+            if row.get("Group") not in ("all", "zone", "cell"):
+                yield f"{where}: Group is none that is known: {row.get('Group')!r}; each endpoint is a group of its own"
+            if not (row.get("Window") or 0.0) > 0.0:
+                yield f"{where}: Window is {row.get('Window')!r}; nothing that may have run is sent again"
+
+
 def names_of(conf):
     """The names by which sockets call what the module knows by number: four maps from name to number."""
     def numbered(rows):
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -94,8 +94,8 @@
                         await line.write(*parts)
                         outcome = plain.TIMEOUT
                     if leaves.cancelled_caught:
-                        outcome = plain.KEPT      # a call begins with its last byte
-                    else:
+                        outcome = plain.KEPT        # a call begins with its last byte
+                    elif await self._arrives(line, answer, patience, by):
                         await receive(line, answer, patience)
                 # A node that stood still may find its answer beside the timer that ran out.
                 while outcome == plain.TIMEOUT and not answer.whole and line.read_now():
@@ -116,6 +116,12 @@
             latency = self._latency(line, *written)
         self._read(letter, answer, outcome, latency, line is not None and line.idle_since is None)
 
+    async def _arrives(self, line, answer, patience, by):
+        """Take in the answer until the last byte must be there; False if it is not: then it may come too late yet."""
+        with anyio.move_on_after(max(0.0, by - self.clock()) / 1000.0):
+            await receive(line, answer, patience)
+        return answer.whole or line.arrived()
+
     def _leaving(self, letter, place, started):
         """Right before the first byte: by when the last one must have left, 0 when none may go. Those that may not any
         more end as not sent: the connection may have come up late, or this process may have stood still."""
@@ -144,7 +150,7 @@
         if line is not None and (answer.keeps(line) or line.parser.our_state is h11.IDLE):
             self.lines.give(place, line)
         elif line is not None:
-            line.close()
+            line.close() if answer.whole else line.abort()
 
     async def _end_before_others(self, letter, leaves_by, started):
         """Events that can leave or wait for less long than others of their call are told so at once: before its first
--- a/swiftthread/wire/line.py
+++ b/swiftthread/wire/line.py
@@ -1,8 +1,10 @@
 """One TCP connection, without a library's buffers between it and us: what was written is known to the byte."""
 import errno
+import fcntl
 import math
 import socket
 import struct
+import termios
 
 import anyio
 
@@ -13,6 +15,8 @@
 LEFT = (7, 8)       # Linux, tcp_info: CLOSE, CLOSE_WAIT
 STAMPED = struct.Struct("ll")                   # s, ns
 STAMP_ROOM = socket.CMSG_SPACE(STAMPED.size)
+AT_ONCE = struct.pack("ii", 1, 0)               # linger: on, 0 s; what has not arrived by the close never will
+COUNT = struct.Struct("i")
 
 
 class Broken(Exception):
@@ -130,6 +134,22 @@
             self.sock.close()
 
 
+    def abort(self):
+        """Close, and let nothing more arrive of what was written: the kernel would go on for minutes."""
+        try:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, AT_ONCE)
+        except OSError:
+            pass                # it is over, or the kernel closes in its own way
+        self.close()
+
+    def arrived(self):
+        """Whether the other machine has acknowledged all that was written; so, too, where the kernel can't say."""
+        try:
+            return not any(fcntl.ioctl(self.sock, termios.TIOCOUTQ, COUNT.pack(0)))
+        except OSError:
+            return True
+
+
 async def connect(address, buffers, parser, patience_ms=math.inf):
     """A connection to (host, port); Broken when it is refused, or never comes up within our patience."""
     try:
@@ -156,13 +176,13 @@
         raise
 
 
-def listening(address):
-    """A socket that listens on (host, port)."""
+def listening(address, backlog):
+    """A socket that listens on (host, port); so many may wait there to be accepted, or as many as the kernel lets."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-        sock.listen(512)
+        sock.listen(backlog)
         sock.setblocking(False)
     except OSError:
         sock.close()
--- a/swiftthread/wire/registry.py
+++ b/swiftthread/wire/registry.py
@@ -1,5 +1,6 @@
 """Discovery: the list of endpoints, by a watch that is opened anew when it ends or falls silent."""
 import json
+import zlib
 
 import anyio
 import h11
@@ -9,6 +10,7 @@
 from swiftthread.wire.line import Broken, address_of, connect
 
 MOST_LINE = 4 * 1024 * 1024     # bytes: far over the list of any fleet of the pages
+UNNAMED = 1 << 16               # from here on: numbers of zones that the settings do not name
 READY, GONE = "SERVING", "DELETED"
 
 
@@ -20,6 +22,8 @@
         self.quiet, self.connect = quiet_ms, connect_ms
         self.version, self.addresses = 0, {}        # endpoint id -> (host, port); emptied as endpoints go
         self.watching = anyio.CancelScope()
+        self.foreign = {}       # zone name, or endpoint without one, that the settings don't know -> its number;
+        #                         emptied with each whole list
 
     def move(self, address):
         """Discovery is elsewhere: the watch ends, and the next asks there for the whole list."""
@@ -32,20 +36,33 @@
         found, whole = [], bool(page.get("full"))
         if whole:
             self.addresses.clear()
+            self.foreign.clear()
         for row in page.get("servers") or ():
             try:
                 ident, state = str(row["id"]), row["state"]
                 if state == GONE:
                     self.addresses.pop(ident, None)
+                    self.foreign.pop(ident, None)
                 else:
                     self.addresses[ident] = address_of(row["addr"])
-                found.append((ident, int(row["cell"]), self.zones.get(row.get("zone"), 0),
+                found.append((ident, int(row["cell"]), self._zone(ident, row.get("zone")),
                               self.kinds.get(row.get("kind"), 0), float(row.get("weight") or 0.0), state == READY))
             except (KeyError, ValueError, TypeError, AttributeError, OverflowError):
                 logger.warning("an entry of discovery cannot be read")
         self.version = int(page.get("version") or self.version)
         return found, whole
 
+    def _zone(self, ident, name):
+        """The zone's number; one of its own, the same after a restart, where the settings don't name it: repeats that
+        are known in one zone are known in no other. Without a name the endpoint is a zone of its own."""
+        if isinstance(name, str) and name in self.zones:
+            return self.zones[name]
+        named = isinstance(name, str) and name
+        if (said := name if named else ident) not in self.foreign:
+            self.foreign[said] = UNNAMED + zlib.crc32(repr((bool(named), said)).encode())
+            logger.warning("endpoint {}: zone {!r} is none of the settings'; it is held apart from all others", ident, name)
+        return self.foreign[said]
+
     async def watch(self, told):
         """Hand each list that comes to `told`, until the watch ends, falls silent or breaks; False: moved away."""
         with anyio.CancelScope() as self.watching:
--- /dev/null
+++ b/tests/effects.py
@@ -0,0 +1,57 @@
+"""A referee of "no effect twice" over all that receivers saw: sends, effects by key, and what the platform was told."""
+from typing import NamedTuple
+
+SLACK_S = 0.05      # the protocol page's: every time limit on sockets is longer by this
+
+
+class Seen(NamedTuple):
+    """A call at a receiver. `at`: Unix s at which its last byte had come; `ran`: False if it surely had no effect."""
+    at: float
+    ident: str
+    key: str
+    zone: str
+    ran: bool
+
+
+class Rules(NamedTuple):
+    """What holds for a stream type. `group`: None where repeats are known nowhere."""
+    once: bool                  # its effect may happen only once
+    group: str | None = None    # "zone" or "all"
+    window_s: float = 0.0
+
+
+def broken(calls, rules, notices):
+    """A line for each break, in order of time. `rules`: event id -> Rules; `notices`: rows (Unix s, id, outcome)."""
+    found, first, effects = [], {}, {}
+    ended = {ident: (at, outcome) for at, ident, outcome in reversed(notices)}
+    for call in sorted(calls):
+        rule = rules[call.ident]
+        if call.ident in ended and call.at > ended[call.ident][0] + SLACK_S:
+            found.append(f"{call.at:.3f} {call.ident} was sent after it was {ended[call.ident][1]}")
+        if not rule.once:
+            continue
+        before = first.get(call.ident)
+        if before and rule.group is None:
+            found.append(f"{call.at:.3f} {call.ident} was sent again, and may have run at {before.at:.3f}")
+        elif before and rule.group == "zone" and call.zone != before.zone:
+            found.append(f"{call.at:.3f} {call.ident} was sent to zone {call.zone}, and may have run in {before.zone}")
+        elif before and call.at > before.at + rule.window_s + SLACK_S:
+            found.append(f"{call.at:.3f} {call.ident} was sent {call.at - before.at:.3f} s after a send that may have run")
+        if call.ran:
+            first.setdefault(call.ident, call)
+            _effect(found, effects, rule, call)
+    for at, ident, outcome in notices:
+        if outcome == "handed_back" and ident in first and rules[ident].group != "all":
+            found.append(f"{at:.3f} {ident} was handed back, and may have run at {first[ident].at:.3f}")
+    return found
+
+
+def _effect(found, effects, rule, call):
+    """What the receiver does of it: a repeat that its group knows has no effect. Two of one key are too many."""
+    known = [at for at, zone in effects.get(call.key, ()) if rule.group == "all" or rule.group == zone == call.zone
+             or rule.group == "zone" and zone == call.zone]
+    if any(call.at <= at + rule.window_s + SLACK_S for at in known):
+        return
+    if effects.setdefault(call.key, []):
+        found.append(f"{call.at:.3f} {call.ident}: key {call.key} had its effect a second time")
+    effects[call.key].append((call.at, call.zone))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,6 +6,7 @@
 import heapq
 import json
 import os
+import select
 import signal
 import socket
 import struct
@@ -20,6 +21,8 @@
 
 from swiftthread.drill.hosting import Instance
 from swiftthread.plain import StreamType
+from swiftthread.store.ledger import ENDED, TAKEN, records
+from swiftthread.wire.line import STAMP, STAMP_ROOM, STAMPED
 
 TRACES = Path(__file__).parent / "traces"
 CODES = {"acked": 200, "error": 502, "full": 429, "timeout": 408, "unreached": 521, "reset": 520, "unsent": 409}
@@ -119,11 +122,16 @@
     def __init__(self, answer, idle_s=None):
         self.answer, self.idle_s, self.accepted, self.conns = answer, idle_s, 0, []
         self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setsockopt(socket.SOL_SOCKET, STAMP, 1)       # whom it accepts has it too
+        self.came = threading.local()       # `at`: Unix s at which the kernel had the last byte of the request answered
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.gate = threading.Event()       # while it is not set nobody is accepted
+        self.gate.set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
         while True:
+            self.gate.wait()
             try:
                 conn, _ = self.listener.accept()
             except OSError:
@@ -139,7 +147,7 @@
             while True:
                 part = parser.next_event()
                 if part is h11.NEED_DATA:
-                    parser.receive_data(conn.recv(65536))
+                    parser.receive_data(self._recv(conn))
                 elif isinstance(part, h11.Request):
                     request, body = part, b""
                 elif isinstance(part, h11.Data):
@@ -155,6 +163,14 @@
         finally:
             conn.close()
 
+    def _recv(self, conn):
+        data, notes, _, _ = conn.recvmsg(65536, STAMP_ROOM)
+        for level, kind, stamp in notes:
+            if (level, kind) == (socket.SOL_SOCKET, STAMP):
+                seconds, nanos = STAMPED.unpack(stamp)
+                self.came.at = seconds + nanos / 1e9
+        return data
+
     def _reply(self, conn, parser, request, body):
         headers = {name.decode(): value.decode() for name, value in request.headers}
         said = self.answer(request.method.decode(), request.target.decode(), headers, body)
@@ -211,6 +227,35 @@
         return [headers["x-txn"] for _, _, headers, _ in self.calls]
 
 
+class Gated(Endpoint):
+    """An endpoint that can be shut: then its queue of connections is full, and the kernel drops what asks for one. Who
+    asked meanwhile asks again a second later, as TCP does: a connection that comes up late."""
+
+    def __init__(self, *script, **more):
+        self.crowd = []
+        super().__init__(*script, **more)
+        self.listener.listen(0)
+
+    def _serve(self, conn):
+        self.gate.wait()
+        super()._serve(conn)
+
+    def shut(self):
+        self.gate.clear()
+        while True:
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(self.listener.getsockname())
+            self.crowd.append(sock)
+            if not select.select([], [sock], [], 0.05)[1]:
+                return
+
+    def hear(self):
+        while self.crowd:
+            self.crowd.pop().close()
+        self.gate.set()
+
+
 class Discovery(Speaker):
     """Holds a list, tells its changes to all watches, and takes notices."""
 
@@ -355,6 +400,15 @@
     def ledger(self):
         return self.state / "ledger"
 
+    def held(self):
+        """Ids of the events that its log holds."""
+        held = {}
+        for _, _, kind, payload in records(self.ledger().read_bytes()):
+            if kind in (TAKEN, ENDED):
+                row = json.loads(payload[4:4 + struct.unpack_from("<I", payload)[0]] if kind == TAKEN else payload)
+                held[row[0]] = kind == TAKEN
+        return {ident for ident, is_held in held.items() if is_held}
+
 
 def until(true, patience=8.0):
     end = time.monotonic() + patience
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -1,50 +1,17 @@
 """The bounds of a send hold for its bytes, however late its connection comes up: window, group, end, wait, drain."""
 import math
-import select
 import signal
 import socket
-import threading
 import time
 
 import pytest
 
-from helpers import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Endpoint, Program, Run, until
-from swiftthread.plain import StreamType
+from helpers import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Gated, Program, Run, until
 
 ZONAL = DEDUPLICATED._replace(group="zone")
 SINKS = [("a", 0, 0, 0, 0.0, True), ("b", 0, 1, 0, 0.0, True), ("c", 0, 0, 0, 0.0, True)]
 
 
-class Deaf(Endpoint):
-    """From its first call on its queue of connections is full, and the kernel drops what asks for one, until `hear`.
-    Who asked meanwhile asks again a second later, as TCP does: its connection comes up late."""
-
-    def __init__(self, first, *script, after_s=0.0, **more):
-        self.heard, self.crowd = threading.Event(), []
-        super().__init__(lambda _body: (self._fill(), time.sleep(after_s), first)[2], *script, **more)
-
-    def _accept(self):
-        conn, _ = self.listener.accept()
-        self._serve(conn)
-        self.heard.wait()
-        super()._accept()
-
-    def _fill(self):
-        self.listener.listen(0)
-        while True:
-            sock = socket.socket()
-            sock.setblocking(False)
-            sock.connect_ex(self.listener.getsockname())
-            self.crowd.append(sock)
-            if not select.select([], [sock], [], 0.05)[1]:
-                return
-
-    def hear(self):
-        for sock in self.crowd:
-            sock.close()
-        self.heard.set()
-
-
 def maybe_ran(stream, sink="a"):
     """A run at 1,000 ms, and an event of it whose first send, at 0 ms to this sink, may have run."""
     run = Run([row for row in SINKS if row[0] == sink], streams=[stream]).play(0.0)
@@ -102,7 +69,7 @@
 @pytest.mark.parametrize("group", ["zone", "all"])
 def test_a_connection_that_comes_up_after_the_window_carries_no_second_send(tmp_path, group):
     """The fleet's zone+mass days: decided 4.7 s after the first send, its bytes left after 5.7 s of a window of 5.1."""
-    endpoint = Deaf("reset", 200, after_s=1.25)
+    endpoint = Gated(lambda _body: (endpoint.shut(), time.sleep(1.25), "reset")[2], 200)
     streams = [{"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": group, "Window": 2.2}]
     with Program(tmp_path, endpoint, Profiles=streams, Permissions={"ConnectTimeout": 4.0}) as node:
         assert node.hand_in("posting", left="8000m", **POSTING) == 202
@@ -117,7 +84,7 @@
 def test_an_event_whose_time_ends_before_its_connection_is_up_is_in_no_call(tmp_path, stream):
     """It was told to have timed out and given up, and then travelled with the others of its call all the same."""
     wait = (429, [("Retry-After", "0.3"), ("Connection", "close")], b"")
-    endpoint = Deaf(wait, lambda body: (200, [], b'[{"id":"evt-2","state":"done"},{"id":"evt-1","state":"done"}]'))
+    endpoint = Gated(lambda _body: (endpoint.shut(), wait)[1], lambda body: (200, [], b'[{"id":"evt-2","state":"done"},{"id":"evt-1","state":"done"}]'))
     with Program(tmp_path, endpoint, Domain={"KindBatch": [5]}, Permissions={"ConnectTimeout": 4.0}) as node:
         assert node.hand_in(stream, left="1000m") == 202
         until(lambda: b'N["evt-1"]' in node.ledger().read_bytes())
@@ -129,7 +96,7 @@
 
 
 def test_a_process_that_stood_still_does_not_send_what_is_past_its_window(tmp_path):
-    endpoint = Deaf("reset", 200, after_s=1.25)
+    endpoint = Gated(lambda _body: (endpoint.shut(), time.sleep(1.25), "reset")[2], 200)
     streams = [{"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": "zone", "Window": 2.2}]
     with Program(tmp_path, endpoint, Profiles=streams, Permissions={"ConnectTimeout": 6.0}) as node:
         assert node.hand_in("posting", left="8000m", **POSTING) == 202
@@ -140,3 +107,34 @@
         node.process.send_signal(signal.SIGCONT)
         until(lambda: node.notices() == {"evt-1": "given_up"})
         assert len(endpoint.calls) == 1
+
+
+def test_what_has_not_arrived_when_a_call_is_given_up_never_does(tmp_path):
+    """The kernel held the rest of a body and sent it on: a receiver that read on had the event after its final answer."""
+    endpoint = Gated()
+    endpoint.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    endpoint.listener.listen(8)
+    with Program(tmp_path, endpoint) as node:
+        endpoint.gate.clear()
+        assert node.hand_in(body=bytes(60000), left="900m") == 202
+        until(lambda: node.notices() == {"evt-1": "handed_back"})
+        endpoint.gate.set()
+        assert node.hand_in() == 202
+        until(lambda: "evt-2" in endpoint.idents())
+        until(lambda: all(conn.fileno() < 0 for conn in endpoint.conns[:1]))
+        assert endpoint.idents() == ["evt-2"]
+
+
+@pytest.mark.parametrize("window, calls", [(1.4, 1), (9.0, 2)])
+def test_a_send_whose_last_byte_is_not_there_by_the_end_of_its_window_ends(tmp_path, window, calls):
+    endpoint = Gated(lambda _body: (endpoint.gate.clear(), time.sleep(0.7), "reset")[2], 200)
+    endpoint.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    endpoint.listener.listen(8)
+    streams = [{"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": "zone", "Window": window}]
+    with Program(tmp_path, endpoint, Profiles=streams, Permissions={"ConnectTimeout": 4.0}) as node:
+        assert node.hand_in("posting", body=bytes(60000), left="8000m", **POSTING) == 202
+        until(lambda: endpoint.calls)
+        until(lambda: time.monotonic() - endpoint.calls[0][0] > 1.45)       # before its time-out, 0.84 s after its send
+        endpoint.gate.set()
+        until(lambda: b'E["evt-1"]' in node.ledger().read_bytes())
+        assert len(endpoint.calls) == calls and node.notices() == ({"evt-1": "given_up"} if calls == 1 else {})
