--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -291,8 +291,8 @@
         return self._send(evt, sink, joins, now)
 
     def leaves_by(self, evt, sink, now):
-        """The moment by which the last byte of this send must have left; -inf when its first may not leave any more.
-        Guards what `where` weighed against the time until a connection is up: ends, windows, waits and drains."""
+        """The moment by which the last byte of a send must have left; -inf when its first may not any more.
+        Guards what `where` weighed against the time until a connection is up."""
         if evt.over or not sink.ready or now < sink.key.blocked or not self._in_group(evt, sink):
             return -math.inf
         last = self.last_moment(evt, now)
@@ -316,7 +316,7 @@
         elif outcome == ACKED:
             sink.shunned.pop(evt.stream, None)
         if not call.learnt:
-            call.learnt = outcome not in (CANCELLED, UNSENT, KEPT)  # of one that was not in it nothing is learnt
+            call.learnt = outcome not in (CANCELLED, UNSENT, KEPT)  # nothing, of one that was not in it
             self._learn(sink, outcome, now, latency, report or {})
         if outcome not in (ACKED, *NEVER_RAN):
             if evt.maybe_at is None:
@@ -381,8 +381,8 @@
 
     @staticmethod
     def group_of(evt, sink):
-        """Which endpoints know a repeat of an event sent here, by what outlasts the process: those of its zone, or
-        this one alone where the group is none of the pages'."""
+        """Which endpoints know a repeat of an event sent here, by what outlasts a process: those of its zone,
+        or this one alone where the group is none of the pages'."""
         return sink.zone if evt.stream.group in ("all", "zone") else sink.ident
 
     @staticmethod
@@ -445,7 +445,8 @@
         if sink.out and now - sink.heard > quiet * (1 if sink.out > 1 else 2):
             # Bookings never learn when calls end: a silent sink would take slot after slot.
             return math.inf
-        return max(key.ready_at(), sink.again_at, key.cold_due if now - sink.cold_since < self.warm_up else now)
+        cold = now - sink.cold_since < self.warm_up
+        return max(key.ready_at(), sink.again_at, key.cold_due if cold else now)
 
     def _send(self, evt, sink, joins, now):
         key = sink.key
