--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -150,7 +150,8 @@
         if line is not None and (answer.keeps(line) or line.parser.our_state is h11.IDLE):
             self.lines.give(place, line)
         elif line is not None:
-            line.close() if answer.whole else line.abort()
+            # Who has answered has the request; of any other what has not arrived yet must not do so later.
+            line.close() if answer.begun or answer.whole else line.abort()
 
     async def _end_before_others(self, letter, leaves_by, started):
         """Events that can leave or wait for less long than others of their call are told so at once: before its first
