The test of a full disk limits a process of its own, not the test runner's

On a terminal or a pipe the limit does not count, which is why it passed there.

Change: the full disk is that of a child process, which is asked for its exit and its log line.

--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -3,7 +3,10 @@
 import os
 import resource
 import signal
+import subprocess
+import sys
 import time
+from pathlib import Path
 
 import pytest
 
@@ -99,24 +102,29 @@
     assert len(ledger.unread) == 2 and known(ledger) == {"evt-1": UNKNOWN, "evt-2": UNKNOWN}
 
 
-@pytest.fixture
-def full():
-    """Call it with a path: files of this process grow no more past that one's size, until the test ends."""
-    before = resource.getrlimit(resource.RLIMIT_FSIZE)
-    yield lambda path: resource.setrlimit(resource.RLIMIT_FSIZE, (os.path.getsize(path), before[1]))
-    resource.setrlimit(resource.RLIMIT_FSIZE, before)
+# In a process of its own: the limit holds for each of its files, so for a test runner's output too.
+FULL_DISK = """
+import os, resource, sys
+from test_ledger import held, open_at
+folder, outcome = sys.argv[1:]
+ledger, events = open_at(folder), [held("evt-0"), held("evt-1"), held("evt-2")]
+assert all(map(ledger.taken, events))
+hard = resource.getrlimit(resource.RLIMIT_FSIZE)[1]
+resource.setrlimit(resource.RLIMIT_FSIZE, (os.path.getsize(ledger.path), hard))
+assert not ledger.sent(events[1], 1) and not ledger.taken(held("evt-3"))
+assert ledger.decided(events[1], outcome, 500.0)
+"""
 
 
 @pytest.mark.parametrize("outcome", ["given_up", "handed_back"])
-def test_a_decision_is_in_the_log_though_the_disk_is_full(tmp_path, full, outcome):
-    ledger, events = open_at(tmp_path), [held("evt-0"), held("evt-1"), held("evt-2")]
-    assert all(map(ledger.taken, events))
-    full(tmp_path / NAME)
-    assert not ledger.sent(events[1], 1) and not ledger.taken(held("evt-3"))
-    assert ledger.decided(events[1], outcome, 500.0)
-    ledger.close()
+def test_a_decision_is_in_the_log_though_the_disk_is_full(tmp_path, outcome):
+    child = subprocess.run([sys.executable, "-c", FULL_DISK, str(tmp_path), outcome], cwd=Path(__file__).parent,
+                           env=os.environ | {"PYTHONPATH": str(Path(__file__).parents[1])}, capture_output=True, text=True)
+    assert child.returncode == 0, child.stderr
+    assert "the log cannot be written: File too large" in child.stderr
     ledger = open_at(tmp_path)
     assert [event.decision for event in ledger.held.values()] == [None, (outcome, 0.0), None] and not ledger.unread
+    ledger.close()
 
 
 def test_what_a_write_that_broke_off_left_is_cut_before_the_next_one(tmp_path, monkeypatch):
