A fault of ours in a turn, probe, notice, watch or accept no longer ends the node

So the cause stays open; what is mended is that any such fault costs the whole node.

Change: an event for which the module fails ends alone, in its own life; a turn that breaks off is followed by one that asks all again, and what had moved in it moves then; a probe, notices, the watch and an accept log the fault and go on.

--- a/swiftthread/queues.py
+++ b/swiftthread/queues.py
@@ -39,6 +39,7 @@
         self.timed = []         # heap of [moment, number, event]: ends, and turns after a rest; emptied as they pass
         self.ends = {}          # waiting event -> the entry of its end in `timed`; emptied as it leaves
         self.stale = 0          # entries of `timed` whose event has left; they are sorted out when they are many
+        self.moved = []         # what moved in a turn; emptied at its end, or at the next one's where a fault broke it off
         self.subjects = {}      # subjects of which an event has left or ended; emptied each turn
 
     def __len__(self):
@@ -127,8 +128,9 @@
         return entry
 
     def turn(self, now):
-        """[(event, Send, Decline or Discard)] of all that move now, in the order asked. They wait no more."""
-        moved = []
+        """[(event, Send, Decline or Discard)] of all that move now, in the order asked. They wait no more. An event for
+        which the module fails comes with its exception: the others must not wait for it."""
+        moved = self.moved
         self._time_passes(now, moved)
         self._subjects_go_on(now)
         while self.sleeping and self.sleeping[0][0] <= now:
@@ -142,6 +144,7 @@
         if self.module.crowded():
             self._shed(now, moved)
         self._ask(now, moved)
+        self.moved = []
         return moved
 
     def _subjects_go_on(self, now):
@@ -165,7 +168,10 @@
 
     def _one(self, evt, now, moved):
         """Ask for one event; when it moves it waits no more."""
-        answer = self.module.where(evt, now)
+        try:
+            answer = self.module.where(evt, now)
+        except Exception as fault:      # it ends this event alone, in whose life it is raised
+            answer = fault
         if not isinstance(answer, Later):
             self.left(evt)
             moved.append((evt, answer))
--- a/swiftthread/service/turns.py
+++ b/swiftthread/service/turns.py
@@ -3,6 +3,7 @@
 
 import anyio
 from anyio.lowlevel import checkpoint
+from loguru import logger
 
 from swiftthread.queues import Queues
 
@@ -16,6 +17,8 @@
 
     async def come(self):
         await self.begun.wait()
+        if isinstance(self.said[-1], Exception):
+            raise self.said[-1]
         return self.said
 
     def begin(self, *said):
@@ -68,10 +71,14 @@
         many moved, and how many ms the turn came late for want of the core."""
         late = 0.0
         while True:
-            await self._sleep()
-            now = self.clock()
-            moved = await self._turn(now)
-            once_asked(now, moved, late)
+            try:
+                await self._sleep()
+                now = self.clock()
+                moved = await self._turn(now)
+                once_asked(now, moved, late)
+            except Exception:       # guards the node: the next turn asks all again
+                logger.exception("a turn failed")
+                self.queues.stir()
             begun = self.clock()
             await anyio.sleep(self.gap / 1000.0)
             late = self.clock() - begun - self.gap
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -230,6 +230,8 @@
                 await exchange(line, "GET", target, [("Host", "endpoint")], b"", answer, patience)
         except Broken:
             outcome = plain.UNREACHED
+        except Exception:       # guards the node: a fault in a probe is one without an answer
+            logger.exception("a probe failed")
         finally:
             self._back(place, line, answer)
         if answer.first is not None:
--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -17,6 +17,7 @@
 FINISH_MS = 3000.0                  # for the rest of a bad request, which is read and dropped; 60 MB on loopback
 SILENT_S, ASKING_S = 0.25, 0.45     # s that a connection is left alone without a request, and in one: a client
 #                                     waits 0.4 s for its answer, its connect counted in
+ACCEPT_PAUSE_S = 0.05               # s after a client that could not be accepted: no descriptor is free, most often
 LATE_S, GIVES_UP_S = 0.15, 0.35     # s outside: from here the latest come first; from here a closed one has given up
 ONCE = (b"x-txn", b"x-lane", b"x-remaining", b"x-route-to", b"idempotency-key", b"x-org", b"x-entity")
 REMAINING = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])")
@@ -67,11 +68,14 @@
                 continue
             except OSError as fault:
                 logger.warning("a client could not be accepted: {}", fault.strerror)
-                await anyio.sleep(0.05)
+            except Exception:       # guards those that are connected: the next is accepted all the same
+                logger.exception("a client could not be accepted")
+            else:
+                self.silent[line] = anyio.current_time()
+                tasks.start_soon(self._client, line)
+                await checkpoint()      # what it has sent is read before others are let in, and maybe it is let go
                 continue
-            self.silent[line] = anyio.current_time()
-            tasks.start_soon(self._client, line)
-            await checkpoint()      # what it has sent is read before others are let in, and maybe it is let go
+            await anyio.sleep(ACCEPT_PAUSE_S)
 
     def _many(self):
         """Whether so many connections are kept that one more is not: clients that ask once and stay would hold all that
--- a/swiftthread/wire/notices.py
+++ b/swiftthread/wire/notices.py
@@ -64,6 +64,9 @@
                 await exchange(self.line, "POST", "/status", [("Host", "discovery")], body, answer, self.posting)
         except Broken:
             pass
+        except Exception:       # guards the node: it is told again, on another connection
+            logger.exception("notices failed")
+            answer = Answer()
         if self.line is not None and not answer.keeps(self.line):
             self._close()
         return answer.whole and answer.status == 204
--- a/swiftthread/wire/registry.py
+++ b/swiftthread/wire/registry.py
@@ -93,6 +93,9 @@
         except (ValueError, AttributeError, TypeError, OverflowError, RecursionError):
             self.version = 0        # what was missed is unknown: the whole list is asked for
             logger.warning("the watch cannot be read")
+        except Exception:       # guards the node: the whole list is asked for on another connection
+            self.version = 0
+            logger.exception("the watch failed")
         finally:
             if line is not None:
                 line.close()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -333,6 +333,7 @@
         self.conf, self.parts = folder / "config.json", conf
         self.conf.write_text(json.dumps(conf))
         self.count, self.process, self.environ = count(1), None, environ or {}
+        self.module, self.home = "swiftthread", None    # what is started, and from which folder
 
     def __enter__(self):
         return self.start()
@@ -354,7 +355,7 @@
     def start(self):
         if self.process is not None:
             self.process.stderr.close()
-        self.process = subprocess.Popen([sys.executable, "-m", "swiftthread"], stderr=subprocess.PIPE,
+        self.process = subprocess.Popen([sys.executable, "-m", self.module], stderr=subprocess.PIPE, cwd=self.home,
                                         env=os.environ | {"LB_CONFIG": str(self.conf)} | self.environ)
         until(lambda: self.healthy())
         return self
