An endpoint relisted for another destination gets none of the old one's events

Seen by reading: Dispatcher.listed kept the sink of an id for ever; listed under that id for another destination it was put among that one's endpoints and stayed among the old one's, so events of the old destination went to it, and a repeat that the old group would know could run anew.

Change: such an endpoint is gone where it was and new where it is now, with nothing known of it.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -197,6 +197,9 @@
         named, grown = set(), {}
         for ident, dest_no, zone, kind, rate, ready in entries:
             dest = self.dests.setdefault(dest_no, Destination(dest_no))
+            if ident in self.sinks and self.sinks[ident].dest is not dest:
+                self._gone(old := self.sinks.pop(ident))     # it serves another destination now, under its id
+                self.lost.pop(old, None)
             if ident not in self.sinks and not ready:
                 continue
             if ident not in self.sinks:
@@ -220,15 +223,19 @@
         for dest in grown:
             dest.sinks.sort(key=lambda s: (s.fee, s.order))
         for sink in [s for s in self.sinks.values() if not s.ready or (whole and s.ident not in named)]:
-            sink.ready = False
-            if sink in sink.dest.sinks:
-                sink.dest.sinks.remove(sink)
+            self._gone(sink)
             # One that comes back under its id within an outage or a told wait must find both still known.
             known_until = max(sink.heard + 2 * self.warm_up, sink.key.blocked)
             if not sink.out and not sink.probing and now > known_until:
                 self.lost.pop(sink, None)
                 del self.sinks[sink.ident]
 
+    @staticmethod
+    def _gone(sink):
+        sink.ready = False
+        if sink in sink.dest.sinks:
+            sink.dest.sinks.remove(sink)
+
     def list_failed(self, now):
         self.listing_at = now + self.spread(300.0, 900.0)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -51,6 +51,22 @@
     burst(run, (8,), 400.0).play(20000.0).as_kept("drain")
 
 
+@pytest.mark.parametrize("whole", [False, True])
+@pytest.mark.parametrize("answer", ["acked", "timeout"])
+def test_an_endpoint_that_serves_another_destination_now_gets_that_ones_events_alone(whole, answer):
+    """Also one that was held to be down, or has a call out."""
+    run = Run(TWO, lambda ticket, sink, now: (3000.0, answer) if now < 200.0 else (50.0, "acked"))
+    burst(run, range(1, 5))
+    run.at(300.0, run.list, [(1, 5, 0, 0, 4.0, True), (2, 0, 1, 0, 4.0, True)][:1 + whole], whole)
+    burst(run, range(11, 14), 400.0)
+    burst(run, range(21, 24), 500.0, dest=5)
+    run.play(30000.0)
+    goes = [line.split()[2:5:2] for line in run.lines if " send " in line and float(line.split()[0]) > 300.0]
+    goes = [(int(ticket), sink.strip(",")) for ticket, sink in goes]
+    assert {sink for ticket, sink in goes if ticket < 20} == {"2"} and {sink for ticket, sink in goes if ticket > 20} == {"1"}
+    assert {ticket for ticket, _ in goes} >= {*range(11, 14), *range(21, 24)}
+
+
 @pytest.mark.parametrize("name, stream, sinks", [
     ("maybe_idempotent", IDEMPOTENT, ONE),
     ("maybe_non_idempotent", NON_IDEMPOTENT, ONE),
