--- a/swiftthread/store/ledger.py
+++ b/swiftthread/store/ledger.py
@@ -19,6 +19,7 @@
 TAKEN, STATE, SENT, NEVER_RAN, DECIDED, ENDED = b"T", b"S", b"O", b"N", b"D", b"E"
 GIVEN_UP, HANDED_BACK = b"G", b"H"      # in the place of TAKEN, whose checksum it keeps: taken, and decided
 IN_PLACE = {"given_up": GIVEN_UP, "handed_back": HANDED_BACK}
+DECIDED_IN = {kind: outcome for outcome, kind in IN_PLACE.items()}
 KIND_AT = HEAD.size - 1
 KINDS = re.compile(b"[TSONDEGH]")
 UNKNOWN = (0.0, None)   # a send of which nothing is known but that it may have run: long ago, in no group
@@ -58,7 +59,7 @@
     while found := KINDS.search(data, at + KIND_AT):
         at = found.start() - KIND_AT
         check, length, kind = HEAD.unpack_from(data, at)
-        end, first = at + HEAD.size + length, TAKEN if kind in IN_PLACE.values() else kind
+        end, first = at + HEAD.size + length, TAKEN if kind in DECIDED_IN else kind
         if end > len(data) or zlib.crc32(data[at + HEAD.size:end], zlib.crc32(data[at + 4:at + KIND_AT] + first)) != check:
             at += 1
             continue
@@ -130,12 +131,12 @@
         return True
 
     def _note(self, at, kind, payload):
-        if kind == TAKEN or kind in IN_PLACE.values():
+        if kind == TAKEN or kind in DECIDED_IN:
             size, = struct.unpack_from("<I", payload)
             held = Held(*json.loads(payload[4:4 + size]), payload[4 + size:])
             held.at = at
-            held.decision = {GIVEN_UP: ("given_up", 0.0), HANDED_BACK: ("handed_back", 0.0)}.get(kind)
-            held.logged = held.decision is not None
+            if kind in DECIDED_IN:
+                held.decision, held.logged = (DECIDED_IN[kind], 0.0), True
             self._hold(held, HEAD.size + len(payload))
             return
         ident, *rest = json.loads(payload)
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -89,17 +89,7 @@
                 until = letter.waiting()[1]
                 parts = request(line, "POST", *self._written(letter, until))
                 written, line.came_at = (self.clock(), self.wall()), None
-                with anyio.move_on_after(max(0.0, until - written[0]) / 1000.0) as patience:
-                    with anyio.move_on_after((by - written[0]) / 1000.0) as leaves:
-                        await line.write(*parts)
-                        outcome = plain.TIMEOUT
-                    if leaves.cancelled_caught:
-                        outcome = plain.KEPT        # a call begins with its last byte
-                    elif await self._arrives(line, answer, patience, by):
-                        await receive(line, answer, patience)
-                # A node that stood still may find its answer beside the timer that ran out.
-                while outcome == plain.TIMEOUT and not answer.whole and line.read_now():
-                    answer.absorb(line)
+                outcome = await self._ask(line, parts, answer, until, by)
             else:
                 outcome = plain.KEPT
         except Broken as fault:
@@ -116,6 +106,23 @@
             latency = self._latency(line, *written)
         self._read(letter, answer, outcome, latency, line is not None and line.idle_since is None)
 
+    async def _ask(self, line, parts, answer, until, by):
+        """Write a call, whose last byte must have left `by` then, and take in its answer `until` then: how it ended as
+        far as that is known without reading the answer. Broken when the connection is over."""
+        outcome, begun = plain.UNREACHED, self.clock()
+        with anyio.move_on_after(max(0.0, until - begun) / 1000.0) as patience:
+            with anyio.move_on_after((by - begun) / 1000.0) as leaves:
+                await line.write(*parts)
+                outcome = plain.TIMEOUT
+            if leaves.cancelled_caught:
+                return plain.KEPT       # a call begins with its last byte
+            if await self._arrives(line, answer, patience, by):
+                await receive(line, answer, patience)
+        # A node that stood still may find its answer beside the timer that ran out.
+        while outcome == plain.TIMEOUT and not answer.whole and line.read_now():
+            answer.absorb(line)
+        return outcome
+
     async def _arrives(self, line, answer, patience, by):
         """Take in the answer until the last byte must be there; False if it is not: then it may come too late yet."""
         with anyio.move_on_after(max(0.0, by - self.clock()) / 1000.0):
