--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -34,3 +34,13 @@
     assert run.inst.node.where(evt, 150.0) == Later()       # an unpaced key has no slot to wait for
     slowed, down = paced("full")
     assert slowed < 0.5 and down
+
+
+def test_a_connection_that_an_event_waits_for_is_kept_until_none_does():
+    """It was closed in the turn in which its call ended, and the next event's slot paid for a new one."""
+    node = Run([("a", 0, 0, 0, 1.0, True)], keepalive_ms=5000.0).play(0.0).inst.node
+    first, second = [node.take(0.0, 0, 0, 10000.0) for _ in range(2)]
+    for evt, moment, closed in ((first, 0.0, []), (second, 1100.0, ["a"])):
+        node.where(evt, moment)
+        node.after(evt, "acked", moment + 50.0, 50.0, over=True)
+        assert [sink.ident for sink in node.closes(moment + 50.0)] == closed
