--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -354,8 +354,8 @@
         return [s for s in idle if not s.out and (now - s.crowded_at < CROWDED_MS or self._idles(s, now))]
 
     def _idles(self, sink, now):
-        """Whether a connection there would idle most of the time. Not while events wait for it; where no end of
-        idling is told it may."""
+        """Whether a connection there would idle most of the time. Not while events wait; where no end of that
+        is told it may."""
         used = sink.key.pace(now) * max(sink.key.usual, PLACE_MS)
         return self.keepalive < math.inf and not sink.dest.held and used <= USED
 
