Queues own what moved in a turn; it is passed through no function any more

Queues.moved outlives a turn that broke off, and was handed as a parameter through five functions as well. In the tests' referee one of three conditions for a repeat that is known could be true only for a zone named 'zone' and the group of that name, where the next one says the same. A stray blank line.

--- a/swiftthread/queues.py
+++ b/swiftthread/queues.py
@@ -130,8 +130,7 @@
     def turn(self, now):
         """[(event, Send, Decline or Discard)] of all that move now, in the order asked. They wait no more. An event for
         which the module fails comes with its exception: the others must not wait for it."""
-        moved = self.moved
-        self._time_passes(now, moved)
+        self._time_passes(now)
         self._subjects_go_on(now)
         while self.sleeping and self.sleeping[0][0] <= now:
             moment, _, group = heapq.heappop(self.sleeping)
@@ -142,9 +141,9 @@
                 else:
                     self._rings(group)
         if self.module.crowded():
-            self._shed(now, moved)
-        self._ask(now, moved)
-        self.moved = []
+            self._shed(now)
+        self._ask(now)
+        moved, self.moved = self.moved, []
         return moved
 
     def _subjects_go_on(self, now):
@@ -154,19 +153,19 @@
                 self._seat(line[0], now)
         self.subjects.clear()
 
-    def _time_passes(self, now, moved):
+    def _time_passes(self, now):
         while self.timed and self.timed[0][0] <= now:
             entry = self._pop_timed()
             evt = entry[2]
             if evt not in self.place:
                 continue
             if self.ends[evt] is entry:
-                if isinstance(self._one(evt, now, moved), Later):       # the module has moved its end
+                if isinstance(self._one(evt, now), Later):       # the module has moved its end
                     self._ends_at(evt, max(now + 1.0, self.module.last_moment(evt, now)))
             elif self.place[evt] is None:
                 self._seat(evt, now)
 
-    def _one(self, evt, now, moved):
+    def _one(self, evt, now):
         """Ask for one event; when it moves it waits no more."""
         try:
             answer = self.module.where(evt, now)
@@ -174,10 +173,10 @@
             answer = fault
         if not isinstance(answer, Later):
             self.left(evt)
-            moved.append((evt, answer))
+            self.moved.append((evt, answer))
         return answer
 
-    def _shed(self, now, moved):
+    def _shed(self, now):
         """Over its holding room the module hands back: the least urgent of the longest queue go, not the next to go."""
         for dest in sorted(self.by_dest, key=lambda dest: -dest.held):
             rows = [row for group in self.by_dest[dest]
@@ -185,7 +184,7 @@
             for _, _, _, evt in sorted(rows, key=lambda row: row[:3]):
                 if not self.module.crowded():
                     return
-                self._one(evt, now, moved)
+                self._one(evt, now)
             if not self.module.crowded():
                 return
 
@@ -199,7 +198,7 @@
                 rows.append(row)
         return rows
 
-    def _ask(self, now, moved):
+    def _ask(self, now):
         """Ask for the next of each ready group, always the most urgent of all, while they move."""
         ready, self.ready = self.ready, {}
         heads, sent = [], set()
@@ -211,9 +210,9 @@
                 self.by_slot[group], group.until = True, math.inf     # nothing moves but what joins a call of this turn
                 continue
             evt = group.rows[-1][3]
-            answer = self._one(evt, now, moved)
+            answer = self._one(evt, now)
             if isinstance(answer, Later):
-                self._sleeps(group, evt, now, moved)
+                self._sleeps(group, evt, now)
                 continue
             if isinstance(answer, Send):
                 sent.add(group.dest)
@@ -238,7 +237,7 @@
             return
         heapq.heappush(heads, (self.module.rank(evt, group.span, now), next(self.number), group))
 
-    def _sleeps(self, group, evt, now, moved):
+    def _sleeps(self, group, evt, now):
         """Told "later": all that fare alike wait until then, or for what ends before."""
         wait = self.module.wait(evt, now)
         group.until = wait.until
@@ -249,7 +248,7 @@
         if sinks and sinks[0].apart:
             for _, _, _, other in group.rows[-2:-2 - APART_TRIES:-1]:
                 if self.place.get(other) is group:
-                    self._one(other, now, moved)
+                    self._one(other, now)
 
     def _rings(self, group):
         """One entry a group, at its moment or before: an outcome can move the moment many times a second."""
--- a/swiftthread/wire/line.py
+++ b/swiftthread/wire/line.py
@@ -133,7 +133,6 @@
             anyio.notify_closing(self.sock)
             self.sock.close()
 
-
     def abort(self):
         """Close, and let nothing more arrive of what was written: the kernel would go on for minutes."""
         try:
--- a/tests/effects.py
+++ b/tests/effects.py
@@ -48,8 +48,8 @@
 
 def _effect(found, effects, rule, call):
     """What the receiver does of it: a repeat that its group knows has no effect. Two of one key are too many."""
-    known = [at for at, zone in effects.get(call.key, ()) if rule.group == "all" or rule.group == zone == call.zone
-             or rule.group == "zone" and zone == call.zone]
+    known = [at for at, zone in effects.get(call.key, ())
+             if rule.group == "all" or rule.group == "zone" and zone == call.zone]
     if any(call.at <= at + rule.window_s + SLACK_S for at in known):
         return
     if effects.setdefault(call.key, []):
