No event ends while the call that it travels in is out: others' acks counted for nothing

Lines at fault: courier.Letter.waiting and _end_before_others ended the event and waited on. Change: a call lasts as long as the shortest time of those in it. So that this breaks off no call of others early, an event with less time left than a slow answer takes travels alone (choice._shares), and those behind it in its group are asked (Queues._sleeps).

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -125,6 +125,10 @@
             most = MOST_RATE * (self.listed or math.inf)
             self.rate = self.level = max(self.rate, min(self.rate + step, most))
 
+    def quiet(self):
+        """Ms without an outcome after which calls out are more than slow."""
+        return max(QUIET_MS, QUIET_CALLS * self.usual)
+
     def pace(self, now):
         """Calls per ms that this node usually gets acked here."""
         return self.part * math.exp((self.part_at - now) / USUAL_SPAN_MS)
@@ -273,6 +277,10 @@
         """Events of one destination for which this is equal are told the same until one is sent."""
         return evt.stream, evt.maybe_group if self._bound(evt) else None
 
+    def rides(self, dest, now):
+        """Whether a call of this turn takes others with it, though maybe not each event."""
+        return any(sink.key.ride[1] == now and sink.key.ride[2] > 0 for sink in dest.sinks)
+
     def full(self):
         return self.out >= self.slots
 
@@ -406,7 +414,7 @@
             if not self._in_group(evt, sink):
                 continue
             call, at, left = sink.key.ride
-            if at == now and left > 0 and call.sink is sink:
+            if at == now and left > 0 and call.sink is sink and self._shares(evt, sink, now):
                 return sink, now, True
             rows.append((sink, self._moment(sink, now)))
         # Guards a stream type that one endpoint fails while it takes others: endpoints that did not are asked
@@ -448,8 +456,7 @@
             if sink.out or sink.probing or (self.may_probe and sink.silent and not sink.proved):
                 return math.inf
             return max(now if sink.proved or not sink.run else key.cold_due, key.ready_at())
-        quiet = max(QUIET_MS, QUIET_CALLS * key.usual)
-        if sink.out and now - sink.heard > quiet * (1 if sink.out > 1 else 2):
+        if sink.out and now - sink.heard > key.quiet() * (1 if sink.out > 1 else 2):
             # Bookings never learn when calls end: a silent sink would take slot after slot.
             return math.inf
         cold = now - sink.cold_since < self.warm_up
@@ -462,7 +469,8 @@
             key.ride = (call, now, key.ride[2] - 1)
         else:
             call, cost = Call(sink), 1.0
-            key.ride = (call, now, 0 if sink.down else sink.batch - 1)
+            alone = sink.down or not self._shares(evt, sink, now)
+            key.ride = (call, now, 0 if alone else sink.batch - 1)
             self.out += 1
             sink.heard = sink.heard if sink.out else now
             sink.out += 1
@@ -484,6 +492,13 @@
         share = key.among(busy, self.nodes) if key.listed else key.owed or LEAST_RATE
         return self.spread(0.8, 1.2) / (self.multiple * key.sure * present * (key.owed + share) / 2)
 
+    def _shares(self, evt, sink, now):
+        """Whether it may travel with others. Guards them: a call ends for all when the time of one of its events
+        is up, and one that has less left than a slow answer takes would break it off for the others. Hurts near
+        the end of many events, each of which takes a slot."""
+        rest = evt.ends_at - now
+        return rest >= sink.key.quiet() or self._allow(evt, sink, now) < rest
+
     def _allow(self, evt, sink, now):
         rest = evt.ends_at - now
         if evt.stream.effect == NON_IDEMPOTENT:
--- a/swiftthread/queues.py
+++ b/swiftthread/queues.py
@@ -13,7 +13,7 @@
 
 RESORT_MS, RESORT_MS_EACH = 20.0, 0.05  # ms, + ms an event: a group's order is this old at most; ranks drift slowly,
 #                                         and the sorting stays under a tenth of the time however long the group
-APART_TRIES = 3         # of a group whose routes are apart: what waits for one route may take another
+APART_TRIES = 3         # of a group whose routes are apart, or with a call to join: what one waits for, another may not
 SHED_TRIES = 8          # least urgent events looked at for one that can be handed back, in each group
 
 
@@ -245,7 +245,7 @@
             self.by_slot[group] = True
         self._rings(group)
         sinks = group.dest.sinks
-        if sinks and sinks[0].apart:
+        if sinks and sinks[0].apart or self.module.rides(group.dest, now):
             for _, _, _, other in group.rows[-2:-2 - APART_TRIES:-1]:
                 if self.place.get(other) is group:
                     self._one(other, now)
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -33,15 +33,23 @@
         self.travel = []        # those that travel in it: not ended when its first byte went
 
     def waiting(self):
-        """Those that have not ended, and until when the call waits for its answer: an event that may go again
-        elsewhere ends its call with it, so that never two of its sends are out."""
+        """Those that have not ended, and until when the call waits for a connection: an event that may go again
+        elsewhere ends its call with it. The others leave it alone as long as nothing is sent."""
         sends = {held: send for held, send in self.sends.items() if held not in self.ends}
         again = [until for until, is_last in sends.values() if not is_last]
         return list(sends), min(again) if again else max([until for until, _ in sends.values()], default=0.0)
 
+    def until(self):
+        """Until when the call waits for its answer. An event's time ends the call, for all that travel in it: while it
+        is out nothing of it may be told to have ended, for it may yet run."""
+        return min(self.sends[held][0] for held in self.travel)
+
     def add(self, held, until, is_last):
         self.sends[held], self.done[held] = (until, is_last), anyio.Event()
 
+    def over(self):
+        return len(self.ends) == len(self.sends)
+
     def end(self, held, end):
         if held not in self.ends:
             self.ends[held] = end
@@ -86,7 +94,7 @@
             if line is None:
                 outcome = plain.KEPT if last < until else plain.UNREACHED
             elif by := self._leaving(letter, place, started):
-                until = letter.waiting()[1]
+                until = letter.until()
                 parts = request(line, "POST", *self._written(letter, until))
                 written, line.came_at = (self.clock(), self.wall()), None
                 outcome = await self._ask(line, parts, answer, until, by)
@@ -161,16 +169,13 @@
             line.close() if answer.begun or answer.whole else line.abort()
 
     async def _end_before_others(self, letter, leaves_by, started):
-        """Events that can leave or wait for less long than others of their call are told so at once: before its first
-        byte as not sent; after it, those whose own time ends, as timed out. They won't go again."""
-        ends = [(by, held) for held, by in leaves_by.items()]
-        ends += [(until, held) for held, (until, is_last) in letter.sends.items() if is_last]
-        for moment, held in sorted(ends, key=lambda row: row[0]):
-            await anyio.sleep(max(0.0, moment - self.clock()) / 1000.0)
-            if not letter.travel:
-                letter.end(held, End(plain.KEPT, self.clock() - started))
-            elif letter.sends[held] == (moment, True):
-                letter.end(held, End(plain.TIMEOUT, self.clock() - started))
+        """Until its first byte goes, events that can leave for less long than others of their call are told so at
+        once, as not sent."""
+        for held, by in sorted(leaves_by.items(), key=lambda row: row[1]):
+            await anyio.sleep(max(0.0, by - self.clock()) / 1000.0)
+            if letter.travel or letter.over():
+                return
+            letter.end(held, End(plain.KEPT, self.clock() - started))
 
     async def _line(self, place):
         address = place[1]
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from helpers import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Gated, Program, Run, until
+from helpers import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Endpoint, Gated, Program, Run, until
 
 ZONAL = DEDUPLICATED._replace(group="zone")
 SINKS = [("a", 0, 0, 0, 0.0, True), ("b", 0, 1, 0, 0.0, True), ("c", 0, 0, 0, 0.0, True)]
@@ -95,6 +95,36 @@
         assert endpoint.calls[1][1] == "/receive" and endpoint.idents() == ["evt-1", "evt-2"]
 
 
+def test_no_event_ends_while_the_call_that_it_travels_in_is_out(tmp_path):
+    """zone+brink days: one of a call was given up, the answer came after it, and the others' acks counted for nothing."""
+    def late(conn):
+        until(lambda: node.notices())
+        conn.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 69\r\n\r\n'
+                     b'[{"id": "evt-1", "state": "done"}, {"id": "evt-2", "state": "done"}]\n')
+    wait = (429, [("Retry-After", "0.3"), ("Connection", "close")], b"")
+    endpoint = Endpoint(wait, lambda _body: late, 200)
+    endpoint.entry = lambda entry=endpoint.entry: entry(weight=40.0)
+    with Program(tmp_path, endpoint, Domain={"KindBatch": [5]}, Weights="nominal") as node:
+        assert node.hand_in("once", left="2300m") == 202
+        until(lambda: b'N["evt-1"]' in node.ledger().read_bytes())
+        assert node.hand_in(left="4800m") == 202
+        until(lambda: b'E["evt-2"]' in node.ledger().read_bytes())
+        assert [call[1] for call in endpoint.calls] == ["/receive", "/receive-many", "/receive"]
+        assert endpoint.calls[2][2]["x-txn"] == "evt-2" and node.notices() == {"evt-1": "given_up"}
+
+
+@pytest.mark.parametrize("left, first, second", [(600.0, "a", None), (1500.0, "a", "a")])
+def test_an_event_with_less_time_than_a_slow_answer_takes_travels_alone(left, first, second):
+    run = Run([("a", 0, 0, 0, 4.0, True)], batch_by_kind=[5]).play(0.0)
+    node = run.inst.node
+    for short_first in (True, False):
+        node.sinks["a"].key.due = 0.0
+        events = [node.take(0.0, 0, 0, left if short_first == number else 9000.0) for number in (True, False)]
+        answers = [node.where(evt, 0.0) for evt in events]
+        assert [getattr(getattr(answer, "sink", None), "ident", None) for answer in answers] == [first, second]
+        node.sinks["a"].key.ride = (None, -math.inf, 0)
+
+
 def test_a_process_that_stood_still_does_not_send_what_is_past_its_window(tmp_path):
     endpoint = Gated(lambda _body: (endpoint.shut(), time.sleep(1.25), "reset")[2], 200)
     streams = [{"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": "zone", "Window": 2.2}]
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -215,3 +215,13 @@
         out = [evt for evt, answer in waiting.turn(now) if isinstance(answer, Send)]
     assert len(waiting) < 10
     assert len(waiting.timed) < 200 and len(waiting.sleeping) < 60 and len(waiting.ends) == len(waiting)
+
+
+def test_those_behind_an_event_that_joins_no_call_join_it_all_the_same():
+    made = module(rate=4.0, sinks=1, batch_by_kind=[5], streams=[StreamType(1500.0, 10000.0, effect=IDEMPOTENT)])
+    waiting = Queues(made)
+    first, short, last = events = [made.take(0.0, 0, 0, left) for left in (9000.0, 500.0, 10000.0)]
+    assert sorted(events, key=lambda evt: made.rank(evt, 1000.0, 0.0)) == events
+    for evt in events:
+        waiting.add(evt, 0.0)
+    assert [evt for evt, _ in waiting.turn(0.0)] == [first, last] and short in waiting.place
