A known id is the same hand-in only if all but its time is alike, also after a restart

An end in the log is read back, with a mark of its hand-in, and outlasts a log written anew. - Ledger.knows went by the id: another body, destination, stream type or tenant under a known id got a 202 for what was never taken; now 409. What is alike but for the time left stays a 202. - X-Org unknown or missing counted as the first tenant. It has no share now, and is named in the log output. The log holds a tenant by name, so that settings in another order at the next start are not taken for another's. - An endpoint of an unnamed kind counted as the first kind: its batch size, route and fee. It gets one event a call, and is named. - Owed at a start, of a stream type that is no more, and surely never sent: handed back, no longer given up.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -179,7 +179,8 @@
         self.idle = {}       # sinks whose last call out has ended; emptied each turn
         self.connect, self.out, self.held = AT_ONCE * connect_ms, 0, 0
 
-    def take(self, now, stream_no, dest_no, left, tenant=0, subject=0):
+    def take(self, now, stream_no, dest_no, left, tenant=None, subject=0):
+        """Hold an event. `tenant`: its place among the quotas; None is none of them."""
         stream, dest = self.streams[stream_no], self.dests.setdefault(dest_no, Destination(dest_no))
         evt = Event(stream, dest, subject * stream.in_order, now, left, self._weight(stream, tenant, now))
         dest.held += 1
@@ -191,7 +192,10 @@
         return evt
 
     def _weight(self, stream, tenant, now):
-        share = self.quota[tenant] if tenant < len(self.quota) else [0.0, 0.0]
+        if not self.quota:
+            return stream.utility
+        # Who is no tenant has no share, least of all another's: all of it is beyond one.
+        share = self.quota[tenant] if tenant is not None and tenant < len(self.quota) else [0.0, math.inf]
         if share[1] > now + 2000.0:       # over its share by two seconds of it: worth little
             return stream.utility * self.over_quota
         share[1] = max(now, share[1]) + share[0] if share[0] else 0.0
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -16,9 +16,10 @@
 class Node:
     """Joins the decisions to the log, the turns and what is spoken."""
 
-    def __init__(self, seed, terms, streams, turns_of, ledger, clock, wall, limits, tasks):
+    def __init__(self, seed, terms, streams, tenants, turns_of, ledger, clock, wall, limits, tasks):
         self.module = Dispatcher(seed, **terms)
         self.turns, self.ledger, self.streams, self.limits = turns_of(self.module), ledger, streams, limits
+        self.tenants = tenants
         self.clock, self.wall, self.tasks = clock, wall, tasks
         self.room, self.max_ages = terms.get("room") or 10000, [stream.max_age_ms for stream in terms["streams"]]
         self.held_bytes, self.stopping, self.sends_until = 0, False, math.inf     # the last: the module's clock
@@ -28,8 +29,9 @@
     def take(self, held):
         """The door asks: (status, what to do once it is answered, ms after which to come back). In the log before it
         is said to be taken."""
-        if self.ledger.knows(held.ident):
-            return 202, None, 0.0       # the same hand-in, sent once more by its client
+        if (same := self.ledger.known(held)) is not None:
+            # Sent once more by its client; or another's under one id, which no answer of ours could tell apart.
+            return 202 if same else 409, None, 0.0
         now, most = self.wall(), self.max_ages[self.streams[held.stream]]
         if not now < held.ends_at <= now + 2 * most:
             return 400, None, 0.0
@@ -46,8 +48,10 @@
     def begin(self, held):
         """Hand an event to the module, with what the log knows of its sends."""
         now, wall = self.clock(), self.wall()
+        if self.tenants and held.tenant not in self.tenants:
+            logger.warning("{}: tenant {!r} is none of the settings'; it has no share", held.ident, held.tenant)
         evt = held.evt = self.module.take(now, self.streams[held.stream], held.dest, held.ends_at - wall,
-                                          held.tenant, held.subject)
+                                          self.tenants.get(held.tenant), held.subject)
         evt.ticket, evt.sends = held, held.sends
         if held.maybe is not None:
             # The wall clock may have been set back meanwhile: a send cannot be ahead of us.
@@ -58,8 +62,9 @@
         """What the log says is still owed."""
         for held in list(self.ledger.held.values()):
             if held.stream not in self.streams:
-                logger.error("{} is owed, but of a stream type that is no more: {}; it is given up", held.ident, held.stream)
-                self.tasks.start_soon(self.tell, held, OUTCOMES[plain.Discard], 0.0)
+                logger.error("{} is owed, but of a stream type that is no more: {}; it ends", held.ident, held.stream)
+                what = plain.Discard if held.maybe else plain.Decline    # what surely never ran may come again
+                self.tasks.start_soon(self.tell, held, OUTCOMES[what], 0.0)
                 continue
             self.begin(held)
             if held.decision is not None:
--- a/swiftthread/store/ledger.py
+++ b/swiftthread/store/ledger.py
@@ -6,6 +6,7 @@
 What cannot be read is passed over, and what it may have said is taken for said: any event taken before it may have run.
 A decision for which there is no room on the disk is noted in place, as the kind of the event's first record.
 """
+import hashlib
 import json
 import os
 import re
@@ -26,12 +27,14 @@
 FILE_SHARE = 0.45       # of the disk: the old file and the new one lie there together while it is rewritten
 LIVE_SHARE = 0.35       # of the disk: what events held may need, so that a rewritten file has room to grow
 RESERVE = 100           # bytes beside the id of each record that an event may need later: state, send, decision
-OVER_MS = 3000.0        # for which the id of an ended event is known: a hand-in sent again on another connection
+OVER_MS = 3000.0        # for which the id of an ended event is known: a hand-in sent again on another connection. It
+#                         counts from a start as well: nobody could come while the process was away
 NAME, NEW_NAME = "ledger", "ledger.new"
 
 
 class Held:
-    """An event held, as its client handed it in, and what is known of its sends. Moments are Unix ms."""
+    """An event held, as its client handed it in (the tenant by name), and what is known of its sends. Moments are
+    Unix ms."""
 
     def __init__(self, ident, key, stream, dest, ends_at, tenant, subject, body):
         self.ident, self.key, self.stream, self.dest, self.ends_at = ident, key, stream, dest, ends_at
@@ -47,6 +50,11 @@
     def sent(self, at, zone):
         self.sends, self.maybe, self.out = self.sends + 1, self.maybe or self.out, (at, zone)
 
+    def mark(self):
+        """What a hand-in under the same id must be alike in to be the same: all but the time that is left."""
+        said = json.dumps([self.key, self.stream, self.dest, self.tenant, self.subject]).encode()
+        return hashlib.blake2b(said + self.body, digest_size=8).hexdigest()
+
 
 def record(kind, payload):
     head = struct.pack("<Ic", len(payload), kind)
@@ -88,7 +96,7 @@
         self.held, self.live = {}, 0
         self.cut_off, self.unread = 0, []   # bytes of a record torn at the end; (begin, end) of what could not be read
         self.is_cut = True      # False: a write broke off, and what it left at the end is still there
-        self.over = {}      # id of an ended event -> when; emptied as they grow old
+        self.over = {}      # id of an ended event -> (when, its mark); emptied as they grow old
         if os.path.exists(self.new_path):
             os.unlink(self.new_path)
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -141,6 +149,9 @@
             return
         ident, *rest = json.loads(payload)
         held = self.held.get(ident)
+        if kind == ENDED:
+            self.over.pop(ident, None)      # the latest stands last
+            self.over[ident] = self.wall(), held.mark() if held else rest[0] if rest else None
         if held is None:
             return
         if kind == SENT:
@@ -196,6 +207,8 @@
                 parts.append(record(SENT, json.dumps([held.ident, *held.out]).encode()))
             if held.decision:
                 parts.append(record(DECIDED, json.dumps([held.ident, *held.decision]).encode()))
+        self._forget()
+        parts += [record(ENDED, json.dumps([ident, mark]).encode()) for ident, (_, mark) in self.over.items()]
         data = b"".join(parts)
         file = os.open(self.new_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         try:
@@ -222,11 +235,18 @@
 
     # what the node tells it
 
-    def knows(self, ident):
-        """Whether an event of this id is held, or was until just now."""
-        while self.over and next(iter(self.over.values())) < self.wall() - OVER_MS:
+    def _forget(self):
+        while self.over and next(iter(self.over.values()))[0] < self.wall() - OVER_MS:
             del self.over[next(iter(self.over))]
-        return ident in self.held or ident in self.over
+
+    def known(self, held):
+        """None where no event of this id is held, or was until just now; else whether it is the same hand-in."""
+        self._forget()
+        if (other := self.held.get(held.ident)) is not None:
+            return other.mark() == held.mark()
+        if held.ident not in self.over:
+            return None
+        return self.over[held.ident][1] in (None, held.mark())      # a log from before marks holds none
 
     def taken(self, held):
         """False when the log has no room for the event or cannot take it; then it is not held."""
@@ -275,7 +295,7 @@
 
     def ended(self, held):
         self._drop(held)
-        self.over[held.ident] = self.wall()
+        self.over[held.ident] = self.wall(), held.mark()
         self._said(ENDED, held.ident)
 
     def close(self):
--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -23,7 +23,7 @@
 REMAINING = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 DEST = re.compile(r"(?:^|[;,\s])dest=(\d{1,9})(?:$|[;,\s])")
 TOKEN = re.compile(r"[!-~]{1,200}")
-REASONS = {200: b"OK", 202: b"Accepted", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
+REASONS = {200: b"OK", 202: b"Accepted", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
            413: b"Content Too Large", 431: b"Headers Too Large", 503: b"Service Unavailable"}
 
 
@@ -45,8 +45,8 @@
 class Door:
     """Owner of the listener's connections. `take(held)` says whether the node takes an event on."""
 
-    def __init__(self, take, streams, tenants, buffers, limits, wall, first_ms, request_ms, idle_ms, intake, ring):
-        self.take, self.streams, self.tenants, self.buffers = take, streams, tenants, buffers
+    def __init__(self, take, streams, buffers, limits, wall, first_ms, request_ms, idle_ms, intake, ring):
+        self.take, self.streams, self.buffers = take, streams, buffers
         self.limits, self.wall, self.first, self.request, self.idle = limits, wall, first_ms, request_ms, idle_ms
         # Connections -> since when, by what they do, the longest in front; emptied as they close. `leaving`: told that
         # it sent nothing of use. `silent`: nothing came yet. `asking`: in a request. Between requests: `strangers`
@@ -249,11 +249,11 @@
         left_ms = float(left[1]) / (1.0 if left[2] == "m" else 1000.0)
         subject = subject or headers.get("x-entity", "")
         held = Held(ident, key, stream, int(dest[1]), self.wall() + left_ms,
-                    self.tenants.get(headers.get("x-org"), 0),
+                    headers.get("x-org"),
                     zlib.crc32(subject.encode("latin-1")) + 1 if subject else 0, body)
         status, then, back_ms = self.take(held)
-        if status == 400:
-            raise Bad(400)
+        if status in (400, 409):
+            raise Bad(status)
         return status, then, back_ms
 
     async def _answer(self, line, status, closes, back_ms=0.0):
--- a/swiftthread/wire/registry.py
+++ b/swiftthread/wire/registry.py
@@ -10,7 +10,7 @@
 from swiftthread.wire.line import Broken, address_of, connect
 
 MOST_LINE = 4 * 1024 * 1024     # bytes: far over the list of any fleet of the pages
-UNNAMED = 1 << 16               # from here on: numbers of zones that the settings do not name
+UNNAMED = 1 << 16               # from here on: numbers of zones, and of a kind, that the settings do not name
 READY, GONE = "SERVING", "DELETED"
 
 
@@ -46,12 +46,20 @@
                 else:
                     self.addresses[ident] = address_of(row["addr"])
                 found.append((ident, int(row["cell"]), self._zone(ident, row.get("zone")),
-                              self.kinds.get(row.get("kind"), 0), float(row.get("weight") or 0.0), state == READY))
+                              self._kind(ident, row.get("kind")), float(row.get("weight") or 0.0), state == READY))
             except (KeyError, ValueError, TypeError, AttributeError, OverflowError):
                 logger.warning("an entry of discovery cannot be read")
         self.version = int(page.get("version") or self.version)
         return found, whole
 
+    def _kind(self, ident, name):
+        """The kind's number; one that is no kind's where the settings don't name it, so that it has nothing of
+        another's: one event a call, no route of its own."""
+        if not (isinstance(name, str) and name in self.kinds):
+            logger.warning("endpoint {}: kind {!r} is none of the settings'; it gets one event a call", ident, name)
+            return UNNAMED
+        return self.kinds[name]
+
     def _zone(self, ident, name):
         """The zone's number; one of its own, the same after a restart, where the settings don't name it: repeats that
         are known in one zone are known in no other. Without a name the endpoint is a zone of its own."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -309,6 +309,7 @@
 class Program:
     """`python -m swiftthread` with its folder, and its discovery."""
     SETTINGS = {"Balancers": 1, "Position": 0, "Kinds": ["plain"], "Localities": ["east", "west"], "Weights": "off",
+                "Realms": [],
                 "Period": 0.005, "Discovery": "push", "Stats": {"Fields": [], "How": "off"},
                 "Domain": {"CallsOut": 8, "KindBatch": [1], "RoutesApart": [False], "Carriage": [0.0, 0.0]},
                 "Obligations": {"FallMultiple": 2.0, "ColdFrom": 0.2, "WarmUp": 2.0, "KeyRest": 0.3},
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -205,10 +205,11 @@
         assert len(endpoint.calls) == 8 and not set(back) & set(endpoint.idents())
 
 
-def test_an_event_of_a_stream_type_that_is_no_more_is_given_up(tmp_path):
+def test_an_event_of_a_stream_type_that_is_no_more_is_given_up_if_it_may_have_run(tmp_path):
     endpoint = Endpoint(None)
     with Program(tmp_path, endpoint, Profiles=STREAMS) as node:
         assert node.hand_in("once") == 202
+        until(lambda: endpoint.calls)
         node.stop(signal.SIGKILL)
         node.parts["settings"]["Profiles"] = STREAMS[:1]
         node.conf.write_text(json.dumps(node.parts))
