--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -204,17 +204,18 @@
     def listed(self, entries, whole, now):
         named, grown = set(), {}
         for ident, dest_no, zone, kind, rate, ready in entries:
-            dest = self.dests.setdefault(dest_no, Destination(dest_no))
-            if ident in self.sinks and self.sinks[ident].dest is not dest:
-                self._gone(old := self.sinks.pop(ident))     # it serves another destination now, under its id
+            dest, blocked = self.dests.setdefault(dest_no, Destination(dest_no)), -math.inf
+            apart = bool(kind < len(self.apart_by_kind) and self.apart_by_kind[kind])
+            if (old := self.sinks.get(ident)) and (old.dest is not dest or old.apart != apart):
+                self._gone(self.sinks.pop(ident))    # under its id it serves another destination now, or otherwise
                 self.lost.pop(old, None)
+                blocked = old.key.blocked if old.dest is dest else blocked
             if ident not in self.sinks and not ready:
                 continue
             if ident not in self.sinks:
                 self.sinks[ident] = Sink(ident, zone, dest, self.position)
             sink = self.sinks[ident]
             named.add(ident)
-            apart = kind < len(self.apart_by_kind) and self.apart_by_kind[kind]
             listed = rate / 1000.0 if self.has_rates and rate > 0 else None
             if sink.key is None:
                 fresh = apart or not dest.key
@@ -223,7 +224,8 @@
             elif listed and listed != sink.key.named:
                 sink.key.hold_true(listed, self.nodes, self.sure)
             sink.key.named = listed or sink.key.named    # as the list names it, not as reports correct it
-            sink.apart, sink.ready, sink.zone = bool(apart), ready, zone    # it may come back elsewhere
+            sink.key.blocked = max(sink.key.blocked, blocked)       # a told wait outlasts the change
+            sink.apart, sink.ready, sink.zone = apart, ready, zone    # it may come back elsewhere
             sink.batch = self.batch_by_kind[kind] if kind < len(self.batch_by_kind) else 1
             sink.fee = self.fees[zone] if apart and zone < len(self.fees) else 0.0
             if ready and sink not in dest.sinks:
@@ -562,6 +564,8 @@
     def _lose(self, sink, now, shut):
         """Guards against an outage of the whole destination of which this node sees little: endpoints beside
         it that long acked nothing get one trial, none when shut. Hurts where one endpoint alone is out."""
+        if self.sinks.get(sink.ident) is not sink:
+            return                  # its call outlasted it: another is listed under its id, or none
         key = sink.key
         beside = [s for s in sink.dest.sinks if s.key is key and s is not sink]
         if not any(s.down or now - s.cold_since < self.warm_up for s in [sink, *beside]):
--- a/swiftthread/service/start.py
+++ b/swiftthread/service/start.py
@@ -15,6 +15,7 @@
 from swiftthread.store.ledger import Ledger
 from swiftthread.store.lines import Lines
 from swiftthread.terms import Malformed
+from swiftthread.wire.answer import UNREADABLE
 from swiftthread.wire.courier import Courier
 from swiftthread.wire.door import Door
 from swiftthread.wire.line import listening
@@ -57,7 +58,10 @@
             door = node.door = Door(node.take, told.streams, buffers, limits, wall, bounds.FIRST_MS,
                                     bounds.REQUEST_MS, bounds.CLIENT_IDLE_MS, node.intake, node.turns.ring)
             if told.known:
-                node.module.listed(*registry.entries(told.known), clock())
+                try:
+                    node.module.listed(*registry.entries(told.known), clock())
+                except UNREADABLE as fault:
+                    logger.warning("the configuration's known list cannot be read ({}); the watch will tell", fault)
             node.resume()
             tasks.start_soon(node.notices.run)
             tasks.start_soon(node.turns.run, node.each_turn)
--- a/swiftthread/wire/answer.py
+++ b/swiftthread/wire/answer.py
@@ -14,6 +14,7 @@
 MOST_BODY = 64 * 1024       # bytes of a body, the page's; a longer one, or one said to be longer, is spoilt
 MOST_INTERIM = 20           # answers of 1xx before the one that counts
 REST_MS = 200.0             # from an answer's first byte to its last: endpoints write it in one go
+UNREADABLE = (KeyError, ValueError, TypeError, AttributeError, OverflowError, RecursionError)   # of others' JSON
 FIRST_LINE = re.compile(rb"HTTP/1\.[01] ([2-9]\d\d)(?: [^\r\n]*)?\r?\n")
 
 
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -8,13 +8,12 @@
 from loguru import logger
 
 from swiftthread import plain
-from swiftthread.wire.answer import Answer, exchange, parser, receive, request
+from swiftthread.wire.answer import UNREADABLE, Answer, exchange, parser, receive, request
 from swiftthread.wire.line import Broken, connect
 
 STATES = {"done": plain.ACKED, "failed": plain.ERROR, "busy": plain.FULL, "void": plain.UNSENT,
           "used_up": plain.UNSENT}
 OVER = "void"
-UNREADABLE = (KeyError, ValueError, TypeError, OverflowError, RecursionError)   # of what others wrote as JSON
 
 
 class End:
@@ -246,7 +245,7 @@
             logger.exception("a probe failed")
         finally:
             self._back(place, line, answer)
-        if answer.first is not None:
+        if answer.first is not None and self._place(sink) == place:     # else it was another's answer
             outcome = plain.ACKED if answer.first == 200 else plain.FULL if answer.first == 503 else plain.ERROR
         return End(outcome, self.clock() - started, report=self._report(answer.headers))
 
--- a/swiftthread/wire/registry.py
+++ b/swiftthread/wire/registry.py
@@ -1,15 +1,17 @@
 """Discovery: the list of endpoints, by a watch that is opened anew when it ends or falls silent."""
 import json
 import zlib
+from collections import deque
 
 import anyio
 import h11
 from loguru import logger
 
-from swiftthread.wire.answer import parser, request
+from swiftthread.wire.answer import UNREADABLE, parser, request
 from swiftthread.wire.line import Broken, address_of, connect
 
-MOST_LINE = 4 * 1024 * 1024     # bytes: far over the list of any fleet of the pages
+MOST_LIST = 4 * 1024 * 1024     # bytes: far over the list of any fleet of the pages
+MOST_DOUBTFUL = 2               # lists in a row with an unreadable entry after which it is lived with
 UNNAMED = 1 << 16               # from here on: numbers of zones, and of a kind, that the settings do not name
 READY, GONE = "SERVING", "DELETED"
 
@@ -21,7 +23,9 @@
         self.address, self.buffers, self.kinds, self.zones = address, buffers, kinds, zones
         self.quiet, self.connect = quiet_ms, connect_ms
         self.version, self.addresses = 0, {}        # endpoint id -> (host, port); emptied as endpoints go
+        self.known = {}         # endpoint id -> its entry as last read; emptied as endpoints go
         self.watching = anyio.CancelScope()
+        self.doubtful = 0       # so many lists in a row held an entry that could not be read
         self.foreign = {}       # zone name, or endpoint without one, that the settings don't know -> its number;
         #                         emptied with each whole list
 
@@ -32,26 +36,42 @@
             self.watching.cancel()
 
     def entries(self, page):
-        """A list in discovery's form as the module's (entries, whole). Lines that cannot be read are left out."""
-        found, whole = [], bool(page.get("full"))
+        """A list in discovery's form as the module's (entries, whole). ValueError, and nothing is changed, when it is
+        none. Of an entry that cannot be read nothing is taken on, and an endpoint that is known gets nothing new."""
+        servers, version = page["servers"], int(page.get("version") or self.version)
+        if not isinstance(servers, list):
+            raise ValueError("the entries are no list")
+        found, whole, doubtful, before = [], bool(page.get("full")), False, dict(self.known)
         if whole:
-            self.addresses.clear()
-            self.foreign.clear()
-        for row in page.get("servers") or ():
+            for table in (self.known, self.addresses, self.foreign):
+                table.clear()
+        for row in servers:
             try:
-                ident, state = str(row["id"]), row["state"]
-                if state == GONE:
-                    self.addresses.pop(ident, None)
-                    self.foreign.pop(ident, None)
-                else:
-                    self.addresses[ident] = address_of(row["addr"])
-                found.append((ident, int(row["cell"]), self._zone(ident, row.get("zone")),
-                              self._kind(ident, row.get("kind")), float(row.get("weight") or 0.0), state == READY))
-            except (KeyError, ValueError, TypeError, AttributeError, OverflowError):
-                logger.warning("an entry of discovery cannot be read")
-        self.version = int(page.get("version") or self.version)
+                found.append(self._entry(row))
+            except UNREADABLE as fault:
+                doubtful = True
+                logger.warning("an entry of discovery cannot be read ({}): {:.200}", fault, repr(row))
+                ident = row.get("id") if isinstance(row, dict) else None
+                if isinstance(ident, str) and ident in before:
+                    found.append((*before[ident][:-1], False))
+        self.version, self.doubtful = version, self.doubtful + 1 if doubtful else 0
         return found, whole
 
+    def _entry(self, row):
+        """One endpoint; nothing is noted of it unless all of it could be read."""
+        ident, state = row["id"], row["state"]
+        if not isinstance(ident, str):
+            raise ValueError("the id is no text")
+        address = None if state == GONE else address_of(row["addr"])
+        entry = (ident, int(row["cell"]), self._zone(ident, row.get("zone")), self._kind(ident, row.get("kind")),
+                 float(row.get("weight") or 0.0), state == READY)
+        if state == GONE:
+            for table in (self.known, self.addresses, self.foreign):
+                table.pop(ident, None)
+        else:
+            self.known[ident], self.addresses[ident] = entry, address
+        return entry
+
     def _kind(self, ident, name):
         """The kind's number; one that is no kind's where the settings don't name it, so that it has nothing of
         another's: one event a call, no route of its own."""
@@ -84,23 +104,23 @@
                 line = await connect(self.address, self.buffers, parser())
             target = f"/catalog/members?watch=1&from={self.version}"
             await line.write(*request(line, "GET", target, [("Host", "discovery")]))
-            rest = b""
+            rows, lists = Rows(line), Lists()
             while True:
-                with anyio.fail_after(self.quiet / 1000.0):
-                    data = await self._part(line)
-                if data is None:
+                with anyio.fail_after(self.quiet / 1000.0):     # bytes without an end are silence, too
+                    while (row := await rows.next()) is not None and (page := lists.add(row)) is None and lists.begun:
+                        pass
+                if row is None:
                     return
-                *rows, rest = (rest + data).split(b"\n")
-                if len(rest) > MOST_LINE:
-                    raise Broken(True)
-                for row in rows:
-                    if row.strip():
-                        await told(*self.entries(json.loads(row)))
+                if page is not None:
+                    found, whole = self.entries(page)
+                    await told(found, whole)
+                    if 0 < self.doubtful <= MOST_DOUBTFUL:
+                        raise ValueError("an entry is unknown")     # the whole list, asked for anew, may say it
         except (Broken, TimeoutError):
             logger.info("the watch ended")
-        except (ValueError, AttributeError, TypeError, OverflowError, RecursionError):
+        except UNREADABLE as fault:
             self.version = 0        # what was missed is unknown: the whole list is asked for
-            logger.warning("the watch cannot be read")
+            logger.warning("the watch cannot be read ({}); the whole list is asked for", fault)
         except Exception:       # guards the node: the whole list is asked for on another connection
             self.version = 0
             logger.exception("the watch failed")
@@ -108,16 +128,38 @@
             if line is not None:
                 line.close()
 
-    @staticmethod
-    async def _part(line):
+
+
+class Rows:
+    """The lines of a watch's body, as they come."""
+
+    def __init__(self, line):
+        self.line, self.rows, self.rest = line, deque(), bytearray()
+
+    async def next(self):
+        """The next whole line; None at the end of the body."""
+        while not self.rows:
+            data = await self._part()
+            if data is None:
+                return None
+            *ends, tail = data.split(b"\n")
+            for end in ends:
+                self.rows.append(bytes(self.rest + end))
+                self.rest.clear()
+            self.rest += tail
+            if len(self.rest) > MOST_LIST:
+                raise ValueError("a line is too long")
+        return self.rows.popleft()
+
+    async def _part(self):
         """The next bytes of the body; None at its end."""
         while True:
             try:
-                part = line.parser.next_event()
+                part = self.line.parser.next_event()
             except h11.RemoteProtocolError:
                 raise Broken(True) from None
             if part is h11.NEED_DATA:
-                await line.read()
+                await self.line.read()
             elif isinstance(part, h11.Data):
                 return bytes(part.data)
             elif isinstance(part, h11.Response):
@@ -125,3 +167,36 @@
                     return None
             else:
                 return None
+
+
+class Lists:
+    """JSON objects out of lines: one a line, or indented over several."""
+
+    def __init__(self):
+        self.text = bytearray()
+
+    @property
+    def begun(self):
+        return bool(self.text)
+
+    def add(self, row):
+        """The object that ends with this line; None when none does. ValueError when what came can be none."""
+        if not row.strip():
+            if self.text:
+                raise ValueError("a list breaks off")
+            return None
+        if not (self.text or row.lstrip().startswith(b"{")):
+            raise ValueError("a line is no list")
+        self.text += row + b"\n"
+        if len(self.text) > MOST_LIST:
+            raise ValueError("a list is too long")
+        if not row.rstrip().endswith(b"}"):
+            return None                 # no object ends here
+        try:
+            page = json.loads(self.text)
+        except json.JSONDecodeError as fault:
+            if fault.pos < len(fault.doc.rstrip()):
+                raise                   # not for want of more
+            return None
+        self.text.clear()
+        return page
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,170 @@
+"""The watch when it falls silent, dribbles, breaks off or says what cannot be read; and endpoints listed anew."""
+import json
+import math
+import threading
+import time
+
+import anyio
+import pytest
+
+from helpers import IDEMPOTENT, Discovery, Endpoint, Program, Run, Speaker, until
+from swiftthread.choice import Sink
+from swiftthread.plain import Destination
+from swiftthread.service import limits
+from swiftthread.store.buffers import Buffers
+from swiftthread.store.lines import Lines
+from swiftthread.wire.courier import Courier
+from swiftthread.wire.registry import MOST_DOUBTFUL, MOST_LIST, Lists, Registry
+
+ROW = {"id": "s-1", "addr": "127.0.0.1:2", "cell": 0, "zone": "east", "kind": "plain", "state": "SERVING", "weight": 4.0}
+PAGE = {"version": 3, "full": True, "servers": [ROW, ROW | {"id": "s-2"}]}
+
+
+def lists(text):
+    parser = Lists()
+    return [page for row in text.encode().split(b"\n")[:-1] if (page := parser.add(row)) is not None]
+
+
+@pytest.mark.parametrize("indent", [None, 0, 1, 4, "\t"])
+def test_lists_come_one_a_line_or_indented(indent):
+    text = json.dumps(PAGE, indent=indent)
+    assert lists(f"\n{text}\n\n  {text}  \n") == [PAGE, PAGE]
+
+
+@pytest.mark.parametrize("text", ['{"version": 7, "servers": [{"id"\n\n', '{"version": 7\n{"version": 8, "servers": []}\n',
+                                  "7\n", "[]\n", '[{"servers": []}]\n', "HTTP/1.1 200 OK\n", "}\n", '{"a": }\n',
+                                  "{\n" + '"a": 1,\n' * (MOST_LIST // 8)])
+def test_what_is_no_list_is_told_as_such_and_never_waited_for(text):
+    with pytest.raises(ValueError):
+        lists(text)
+
+
+def entries(*pages):
+    """What a registry makes of each page, and the registry."""
+    async def read():
+        registry, found = Registry(("127.0.0.1", 1), None, {"plain": 0}, {"east": 0, "west": 1}, 0.0, 0.0), []
+        for page in pages:
+            try:
+                found.append(registry.entries(page))
+            except (ValueError, KeyError, TypeError, AttributeError) as fault:
+                found.append(fault)
+        return registry, found
+    return anyio.run(read)
+
+
+@pytest.mark.parametrize("page", [{}, {"full": True}, {"version": 9, "full": True, "servers": None}, 7, [PAGE],
+                                  {"version": 9, "full": True, "servers": {"s-3": ROW}},
+                                  {"version": "nine", "full": True, "servers": []}])
+def test_a_page_that_is_no_list_changes_nothing(page):
+    registry, (_, said) = entries(PAGE, page)
+    assert isinstance(said, Exception)
+    assert registry.version == 3 and set(registry.addresses) == {"s-1", "s-2"}
+
+
+@pytest.mark.parametrize("full", [False, True])
+@pytest.mark.parametrize("wrong", [{"addr": "nowhere"}, {"cell": None}, {"weight": "much"}, {"state": None, "addr": 5}])
+def test_a_known_endpoint_whose_entry_cannot_be_read_gets_nothing_new(full, wrong):
+    registry, (_, (found, whole)) = entries(PAGE, {"version": 4, "full": full, "servers": [ROW | wrong, 7, {"id": 5}]})
+    run = Run([], streams=[])
+    run.inst.node.listed(*entries(PAGE)[1][0], 0.0)
+    run.inst.node.sinks["s-1"].heard = 0.5
+    run.inst.node.listed(found, whole, 1.0)
+    assert not run.inst.node.sinks["s-1"].ready and run.inst.node.sinks["s-1"].zone == 0
+    assert [sink.ident for sink in run.inst.node.dests[0].sinks] == ([] if full else ["s-2"]) and registry.doubtful == 1
+
+
+def test_a_change_with_an_unreadable_entry_has_the_whole_list_asked_for(tmp_path):
+    old, new = Endpoint(), Endpoint(ident="s-2", cell=2)
+    with Program(tmp_path, old) as node:
+        until(lambda: node.discovery.watches)
+        whole = {"version": 2, "full": True, "servers": [old.entry(), new.entry()]}
+        node.discovery.tell(new.entry() | {"addr": "nowhere"})
+        node.discovery.page = whole
+        until(lambda: len(node.discovery.targets) == 2)
+        assert node.discovery.targets[1].endswith("from=0")
+        until(lambda: node.hand_in(dest=2) == 202)
+        until(lambda: new.calls)
+
+
+def test_a_list_that_stays_unreadable_in_part_is_lived_with(tmp_path):
+    endpoint = Endpoint()
+    with Program(tmp_path, endpoint, known=False) as node:
+        node.discovery.page = {"version": 1, "full": True, "servers": [endpoint.entry(), {"id": "s-9"}]}
+        node.discovery.lose_watches()
+        until(lambda: len(node.discovery.watches) >= MOST_DOUBTFUL + 1)
+        asked = len(node.discovery.targets)
+        node.discovery.tell(endpoint.entry())
+        assert node.hand_in() == 202
+        until(lambda: endpoint.calls)
+        assert len(node.discovery.targets) == asked
+
+
+def test_a_watch_that_dribbles_without_an_end_of_line_is_silent():
+    """It never fell silent, and was kept until 4 MiB had come."""
+    told, done = [], threading.Event()
+
+    def drip(conn):
+        conn.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        try:
+            while not done.wait(0.02):
+                conn.sendall(b"1\r\n{\r\n" if not told else b"1\r\n \r\n")
+                told.append(1)
+        except OSError:
+            done.set()
+
+    async def watch():
+        speaker = Discovery()
+        speaker._watch = drip
+        host, port = speaker.address.split(":")
+        registry = Registry((host, int(port)), Buffers(), {}, {}, 300.0, 500.0)
+        began = time.monotonic()
+        with anyio.move_on_after(5.0):
+            assert await registry.watch(None)
+        return time.monotonic() - began
+    took = anyio.run(watch)
+    done.set()
+    assert 0.25 < took < 2.0 and len(told) > 3
+
+
+def test_a_silent_watch_is_asked_again_inside_the_time_that_counts_as_told():
+    """The pages: what a watch that fell silent misses counts as told after 6 s; an empty line comes every 2 s."""
+    run = Run([])
+    pauses = []
+    for _ in range(500):
+        run.inst.node.list_failed(0.0)
+        pauses.append(run.inst.node.listing_at)
+    assert 4000.0 < limits.WATCH_QUIET_MS and limits.WATCH_QUIET_MS + max(pauses) < 5200.0
+
+
+@pytest.mark.parametrize("first, then", [(0, 1), (1, 0)])
+def test_an_endpoint_listed_anew_with_another_kind_is_another_and_its_told_wait_holds(first, then):
+    node = Run([], streams=[IDEMPOTENT], batch_by_kind=[5, 1], apart_by_kind=[False, True]).inst.node
+    node.listed([("a", 0, 0, first, 4.0, True)], True, 0.0)
+    evt = node.take(0.0, 0, 0, 9000.0)
+    old = node.where(evt, 0.0).sink
+    node._told(old.key, 3000.0)
+    node.listed([("a", 0, 0, then, 4.0, True)], False, 10.0)
+    new = node.sinks["a"]
+    assert new is not old and (new.apart, new.batch) == (then == 1, 1 if then else 5) and new.key.blocked == 3000.0
+    assert node.leaves_by(evt, old, 3500.0) == -math.inf
+    node.after(evt, "timeout", 3600.0, 3600.0)
+    assert node.lost == {} and not new.down and new.out == 0
+
+
+def test_a_probe_s_answer_from_an_address_of_before_says_nothing_of_the_endpoint():
+    async def probed(moves):
+        addresses = {}
+
+        def answer(method, target, headers, body):
+            if moves:
+                addresses["a"] = ("127.0.0.1", 1)
+            return 200, [], b""
+        host, port = Speaker(answer).address.split(":")
+        addresses["a"] = (host, int(port))
+        lines = Lines(lambda: 0.0, 1000.0, 4)
+        courier = Courier(None, lines, Buffers(), lambda: 0.0, lambda: 0.0, addresses,
+                          limits.Limits({}, 8, 5000.0, 1500.0), (), None)
+        end = await courier.probe(Sink("a", 0, Destination(0), 0))
+        lines.close_all()
+        return end.outcome
+    assert [anyio.run(probed, moves) for moves in (False, True)] == ["acked", "timeout"]
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -9,7 +9,7 @@
 
 from helpers import IDEMPOTENT, Endpoint, Program, Run, lane, until
 from swiftthread.service.limits import Limits
-from swiftthread.wire.registry import MOST_LINE, Registry
+from swiftthread.wire.registry import MOST_LIST, Registry
 
 MANY = 1024
 
@@ -64,7 +64,7 @@
 def test_what_is_read_of_a_list_has_room_for_far_more_than_a_thousand():
     row = {"id": "s" * 64, "addr": "127.255.255.255:65535", "zone": "z" * 64, "kind": "k" * 64, "cell": 10 ** 6,
            "state": "DRAINING", "weight": 1234.56789, "started_ms": 1796164699085}
-    assert len(str(row)) * MANY * 4 < MOST_LINE
+    assert len(str(row)) * MANY * 4 < MOST_LIST
 
 
 @pytest.mark.parametrize("sockets", [256, 1024, 4096])
