A client's connection is let go our side first; a stop answers who has asked; signals wait for a listener

Now our side is shut down first, what still comes is read and dropped for 0.5 s at most, and nothing of it is taken on; so, too, after an answer that closes. Where sockets are short the connection is closed right after it. - While a silent connection was there, a stop let no resting client go. - A stop ended beside a request in the listener's queue or unread on its connection: now it is accepted and answered, in 0.2 s at most. - SIGTERM or SIGINT before the receiver of signals stood, or after it, killed the process with -15 or a traceback. They are held back from the first line on, heard once somebody listens, and held back again at the exit.

--- a/swiftthread/__main__.py
+++ b/swiftthread/__main__.py
@@ -8,7 +8,7 @@
 import anyio
 from loguru import logger
 
-from swiftthread.service.start import serve
+from swiftthread.service.start import SIGNALS, serve
 from swiftthread.service.told import Told
 from swiftthread.terms import Malformed
 
@@ -33,7 +33,7 @@
 
 
 def main():
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # until the node can read its configuration again
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)   # until somebody listens
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", filter=sparing(),
                backtrace=False, diagnose=False)
--- a/swiftthread/service/start.py
+++ b/swiftthread/service/start.py
@@ -23,6 +23,9 @@
 from swiftthread.wire.registry import Registry
 
 
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+
+
 def clock():
     """The module's clock: ms, forward only."""
     return time.monotonic() * 1000.0
@@ -34,7 +37,18 @@
 
 
 async def serve(told):
-    """Run one node until SIGTERM, and end inside the time that leaves. SIGHUP: the configuration is read again."""
+    """Run one node until SIGTERM, and end inside the time that leaves. SIGHUP: the configuration is read again.
+    `SIGNALS` are held back by the caller until somebody listens, and again once nobody does: one that comes while the
+    log is read, or a second one beside the exit, ends no process in the middle of something."""
+    with anyio.open_signal_receiver(*SIGNALS) as signals:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+        try:
+            await _serve(told, signals)
+        finally:
+            signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+
+
+async def _serve(told, signals):
     terms = told.terms
     limits = bounds.Limits(told.limits, terms.get("slots"), terms.get("keepalive_ms", 60000.0), terms.get("connect_ms"))
     ledger = Ledger(told.state, limits.disk, wall)
@@ -68,15 +82,14 @@
             tasks.start_soon(node.follow, registry)
             listener = listening(told.listen, limits.backlog)
             try:
-                with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-                    tasks.start_soon(door.serve, listener, tasks)
-                    logger.info("{} serves on {}:{}; {} events are owed", told.name, *told.listen, len(ledger.held))
-                    async for which in signals:
-                        if which == signal.SIGHUP:
-                            told = reload(told, registry, node.notices)
-                        elif node.sends_until == math.inf:
-                            node.sends_until = clock() + bounds.SENDING_MS
-                            tasks.start_soon(stop, node, door, ledger, tasks)
+                tasks.start_soon(door.serve, listener, tasks)
+                logger.info("{} serves on {}:{}; {} events are owed", told.name, *told.listen, len(ledger.held))
+                async for which in signals:
+                    if which == signal.SIGHUP:
+                        told = reload(told, registry, node.notices)
+                    elif node.sends_until == math.inf:
+                        node.sends_until = clock() + bounds.SENDING_MS
+                        tasks.start_soon(stop, node, door, listener, ledger, tasks)
             finally:
                 listener.close()
                 lines.close_all()
@@ -101,7 +114,7 @@
     return fresh
 
 
-async def stop(node, door, ledger, tasks):
+async def stop(node, door, listener, ledger, tasks):
     """Clients are let go, but an event that crosses that and can still be sent is taken; sends go on for a while, calls
     out get their time; the rest is in the log."""
     begun = clock()
@@ -112,7 +125,8 @@
         spent = clock() - begun
         node.stopping, node.turns.sending = spent > bounds.ANSWERING_MS, spent < bounds.SENDING_MS
         idle = not ledger.held if node.turns.sending else not node.module.out
-        if idle and not door.asking and spent > bounds.ANSWERING_MS:
+        if idle and not door.owes() and spent > bounds.ANSWERING_MS:
             break
+    await door.end(listener, tasks)
     logger.info("stopped; {} events are left in the log", len(ledger.held))
     tasks.cancel_scope.cancel()
--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -15,6 +15,8 @@
 MOST_BODY = 64 * 1024               # bytes, the page's
 MOST_HEAD = 16 * 1024               # bytes of a request's line and headers
 FINISH_MS = 3000.0                  # for the rest of a bad request, which is read and dropped; 60 MB on loopback
+LINGER_MS = 500.0                   # for a client to close too, once we have; over the 0.4 s that it waits for an answer
+END_S = 0.2                         # s for all of that at the end of a stop; the SIGKILL comes 0.3 s after it at the soonest
 SILENT_S, ASKING_S = 0.25, 0.45     # s that a connection is left alone without a request, and in one: a client
 #                                     waits 0.4 s for its answer, its connect counted in
 ACCEPT_PAUSE_S = 0.05               # s after a client that could not be accepted: no descriptor is free, most often
@@ -48,8 +50,8 @@
     def __init__(self, take, streams, buffers, limits, wall, first_ms, request_ms, idle_ms, intake, ring):
         self.take, self.streams, self.buffers = take, streams, buffers
         self.limits, self.wall, self.first, self.request, self.idle = limits, wall, first_ms, request_ms, idle_ms
-        # Connections -> since when, by what they do, the longest in front; emptied as they close. `leaving`: told that
-        # it sent nothing of use. `silent`: nothing came yet. `asking`: in a request. Between requests: `strangers`
+        # Connections -> since when, by what they do, the longest in front; emptied as they close. `leaving`: our side is
+        # shut down, or about to be; what still comes is read and dropped. `silent`: nothing came yet. `asking`: in a request. Between requests: `strangers`
         # have handed in nothing yet (they asked after the node's health, say), `clients` have.
         self.leaving, self.silent, self.asking, self.strangers, self.clients = self.rooms = {}, {}, {}, {}, {}
         self.closing = False    # then each answer closes its connection
@@ -57,26 +59,33 @@
         self.intake, self.ring, self.outside = intake, ring, deque()
 
     async def serve(self, listener, tasks):
-        """Accept until cancelled."""
+        """Accept until cancelled, or the listener is closed."""
         while True:
             try:
                 await self._room()
-                sock, _ = listener.accept()
-                line = Line(sock, self.buffers, h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD))
+                self._accept(listener, tasks)
+                await checkpoint()      # what it has sent is read before others are let in, and maybe it is let go
+                continue
             except BlockingIOError:
-                await anyio.wait_readable(listener)
+                try:
+                    await anyio.wait_readable(listener)
+                except (anyio.ClosedResourceError, OSError, ValueError):
+                    return
                 continue
             except OSError as fault:
+                if listener.fileno() < 0:
+                    return
                 logger.warning("a client could not be accepted: {}", fault.strerror)
             except Exception:       # guards those that are connected: the next is accepted all the same
                 logger.exception("a client could not be accepted")
-            else:
-                self.silent[line] = anyio.current_time()
-                tasks.start_soon(self._client, line)
-                await checkpoint()      # what it has sent is read before others are let in, and maybe it is let go
-                continue
             await anyio.sleep(ACCEPT_PAUSE_S)
 
+    def _accept(self, listener, tasks):
+        sock, _ = listener.accept()
+        line = Line(sock, self.buffers, h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD))
+        self.silent[line] = anyio.current_time()
+        tasks.start_soon(self._client, line)
+
     def _many(self):
         """Whether so many connections are kept that one more is not: clients that ask once and stay would hold all that
         they may have open, and none of them could ask again."""
@@ -84,28 +93,58 @@
 
     async def _room(self):
         """Wait until one more connection may be held; those to come wait in the listener meanwhile."""
-        while sum(map(len, self.rooms)) >= self.limits.clients and not self._close_one():
-            await anyio.sleep(0.01)
+        while sum(map(len, self.rooms)) >= self.limits.clients:
+            if not self._close_one():
+                await anyio.sleep(0.01)
 
     def _close_one(self):
-        """Make room: close one that loses nothing by it, clients last, and not while a silent one is about to be ripe
-        for it. One that has just come or is in a request is left alone for a while."""
+        """Make room: let go one that loses nothing by it, or close one that was, clients last, and not while a silent
+        one is about to be ripe for it. One that has just come or is in a request is left alone for a while."""
         last = math.inf if self.silent else 0.0
         for room, patience in zip(self.rooms, (0.0, SILENT_S, ASKING_S, 0.0, last)):
             ripe = anyio.current_time() - patience
             for line, since in room.items():
                 if since > ripe:
                     break
-                if room is self.leaving or room is self.asking or line.fresh():
+                if room is self.leaving or room is self.asking:
                     self._shut(line)
                     return True
+                if line.fresh():
+                    self._let_go(line)
+                    return True
         return False
 
     def close_idle(self):
-        """Stop: connections between requests are closed, the others by their next answer."""
+        """Stop: connections between requests are let go, the others by their next answer. One that has just come is
+        left alone for a while: its request may be on its way."""
         self.closing = True
-        while self._close_one():
-            pass
+        ripe = anyio.current_time() - SILENT_S
+        for line in [*self.strangers, *self.clients, *[line for line, since in self.silent.items() if since <= ripe]]:
+            if line.fresh():
+                self._let_go(line)
+
+    def owes(self):
+        """Whether anybody waits for an answer: in a request, read or not."""
+        return bool(self.asking or self.outside) or not all(
+            line.fresh() for line in [*self.silent, *self.strangers, *self.clients])
+
+    async def end(self, listener, tasks):
+        """The end of a stop: nobody else comes in, who has asked is answered, and all are let go. Guards what is still
+        under way on a connection: a close over bytes that were not read is a reset, which may overtake an answer."""
+        try:
+            while True:
+                self._accept(listener, tasks)
+        except OSError:
+            pass                # none is left
+        anyio.notify_closing(listener)
+        listener.close()
+        with anyio.move_on_after(END_S):
+            while any(self.rooms):
+                for line in [*self.silent, *self.strangers, *self.clients]:
+                    if line.fresh():
+                        self._let_go(line)
+                self.ring()         # who waits outside is let in by a turn
+                await anyio.sleep(0.005)
 
     def _leave(self, line):
         """Out of the room that it is in; False when it is in none, for it is closed."""
@@ -120,6 +159,12 @@
         if self._leave(line):
             line.close()
 
+    def _let_go(self, line):
+        """Close a connection that rests: our side first. The client may have written a request meanwhile; that is not
+        taken on, for its answer could not go any more, and the client may hand it in elsewhere."""
+        self._to(self.leaving, line)
+        line.shut_down()
+
     async def _client(self, line):
         """All requests of one connection, one after the other."""
         first, room = True, self.strangers
@@ -142,12 +187,16 @@
                     if then is not None:        # it is taken, also when its client is gone
                         then()
                 if ends or line.parser.our_state is not h11.DONE or line.parser.their_state is not h11.DONE:
+                    self._to(self.leaving, line)
+                    await line.finish(LINGER_MS)
                     return
                 line.parser.start_next_cycle()
                 self._to(room, line)
                 await checkpoint()      # many requests sent at once on one connection take turns with the others
-        except Broken:
-            pass            # gone, silent, or closed by us between requests
+        except Broken:      # gone, silent, or let go by us between requests
+            if line in self.leaving or line in self.silent or line in self.strangers or line in self.clients:
+                self._to(self.leaving, line)
+                await line.finish(LINGER_MS)
         except Exception:   # guards the other clients: a fault here ends this connection alone
             logger.exception("a client's connection failed")
         finally:
--- a/swiftthread/wire/line.py
+++ b/swiftthread/wire/line.py
@@ -94,6 +94,14 @@
         except (anyio.ClosedResourceError, OSError, ValueError):
             raise Broken(True) from None    # closed here while this task waited
 
+    def shut_down(self):
+        """End our side. Whoever waits to read is woken, and finds it broken."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass                # the other side has closed or reset it
+        anyio.notify_closing(self.sock)
+
     async def finish(self, most_ms):
         """End our side, and read on until the other ends too: else a reset may overtake the answer."""
         with anyio.move_on_after(most_ms / 1000.0):
--- /dev/null
+++ b/tests/test_ends.py
@@ -0,0 +1,216 @@
+"""What ends, and what is owed in that instant: connections let go, answers beside a close, stops and signals.
+
+Each test makes the bad order happen: bytes are written between two steps of the node, a stopped process lets them
+arrive first, or a pipe holds it at a place.
+"""
+import fcntl
+import os
+import select
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import termios
+import time
+
+import anyio
+import pytest
+
+from helpers import Endpoint, Program, until
+from swiftthread.service.choices import Intake
+from swiftthread.service.limits import Limits
+from swiftthread.store.buffers import Buffers
+from swiftthread.wire.door import Door
+from swiftthread.wire.line import Line, listening
+
+BYTES = (b"POST /once HTTP/1.1\r\nHost: n\r\nX-Txn: %s\r\nX-Lane: once\r\nX-Remaining: 4000m\r\nX-Route-To: dest=1\r\n"
+         b"Content-Length: %d\r\n\r\n")
+
+
+def unread(sock):
+    return struct.unpack("i", fcntl.ioctl(sock, termios.FIONREAD, bytes(4)))[0]
+
+
+class Inside:
+    """A door of this process, and clients of it. `taken`: the ids that it took on."""
+
+    def __init__(self, tasks, idle_ms=60000.0):
+        self.taken, self.tasks = [], tasks
+        self.listener = listening(("127.0.0.1", 0), 64)
+        self.door = Door(self.take, {"once": 0}, Buffers(), Limits({"sockets": 256}, 8, 5000.0, 500.0), lambda: 0.0,
+                         60000.0, 60000.0, idle_ms, Intake(5.0), lambda: None)
+        tasks.start_soon(self.door.serve, self.listener, tasks)
+
+    def take(self, held):
+        self.taken.append(held.ident)
+        return 202, None, 0.0
+
+    async def client(self):
+        """A client that has handed in "first" and rests."""
+        client = socket.create_connection(self.listener.getsockname())
+        client.sendall(BYTES % (b"first", 0))
+        assert (await said(client)).startswith(b"HTTP/1.1 202")
+        await here(lambda: self.door.clients)
+        return client
+
+
+async def here(true):
+    with anyio.fail_after(5.0):
+        while not true():
+            await anyio.sleep(0.001)
+
+
+async def said(client):
+    """The next bytes that a client gets; b"" is an orderly end, and a reset an error."""
+    client.setblocking(False)
+    with anyio.fail_after(5.0):
+        await anyio.wait_readable(client)
+    return client.recv(4096)
+
+
+def inside(test, **more):
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            place = Inside(tasks, **more)
+            try:
+                await test(place)
+            finally:
+                place.listener.close()
+                tasks.cancel_scope.cancel()
+    anyio.run(run)
+
+
+def crossing(monkeypatch, client):
+    """A request of the client's comes right after its connection was found to rest."""
+    fresh = Line.fresh
+
+    def and_then(line):
+        was = fresh(line)
+        if was and line.sock.getpeername() == client.getsockname():
+            client.sendall(BYTES % (b"crossed", 0))
+            while not unread(line.sock):
+                pass
+        return was
+    monkeypatch.setattr(Line, "fresh", and_then)
+
+
+@pytest.mark.parametrize("why", ["stop", "room", "idle", "end"])
+def test_a_request_that_crosses_the_close_of_its_connection_is_not_taken_and_meets_no_reset(monkeypatch, why):
+    async def test(place):
+        client = await place.client()
+        crossing(monkeypatch, client)
+        if why == "stop":
+            place.door.close_idle()
+        elif why == "room":
+            assert place.door._close_one()
+        elif why == "end":
+            await place.door.end(place.listener, place.tasks)
+        assert await said(client) == b"" and client.recv(9) == b""
+        client.close()
+        await here(lambda: not any(place.door.rooms))
+        assert place.taken == ["first"]
+    inside(test, idle_ms=100.0 if why == "idle" else 60000.0)
+
+
+def test_a_client_that_never_closes_is_closed_in_time():
+    async def test(place):
+        client = await place.client()
+        place.door.close_idle()
+        assert await said(client) == b""
+        line, = place.door.leaving
+        await here(lambda: not any(place.door.rooms))
+        assert line.sock.fileno() < 0
+        client.close()
+    inside(test)
+
+
+def test_an_answer_that_closes_is_not_overtaken_by_a_reset_for_what_came_behind_its_request():
+    async def test(place):
+        client = socket.create_connection(place.listener.getsockname())
+        place.door.closing = True
+        client.sendall(BYTES % (b"first", 0) + BYTES % (b"behind", 60000) + bytes(60000))
+        assert b"Connection: close" in await said(client)
+        assert await said(client) == b"" and place.taken == ["first"]
+        client.close()
+        await here(lambda: not any(place.door.rooms))
+    inside(test)
+
+
+def test_room_is_made_at_once_though_nobody_who_was_let_go_closes():
+    async def test(place):
+        place.door.limits.clients = 4
+        clients = [await place.client() for _ in range(12)]
+        assert sum(map(len, place.door.rooms)) <= 4 and len(place.taken) == 12
+        for client in clients:
+            client.close()
+    inside(test)
+
+
+@pytest.mark.parametrize("opened", [False, True])
+def test_who_has_asked_when_a_stop_ends_is_answered(tmp_path, opened):
+    """What has come, on a connection accepted or still in the listener's queue, while the process stood still."""
+    with Program(tmp_path, Endpoint()) as node:
+        client = node.open() if opened else None
+        if opened:
+            until(lambda: client.sendall(node.bytes_of("once", b"")[:1]) is None)
+        node.process.send_signal(signal.SIGTERM)
+        time.sleep(0.1)                         # of the 0.6 s in which a stop answers whatever comes
+        node.process.send_signal(signal.SIGSTOP)
+        began = time.monotonic()
+        client = client or node.open()
+        client.sendall(node.bytes_of("once", b"", ident="asks")[opened:])
+        until(lambda: time.monotonic() - began > 0.8)
+        node.process.send_signal(signal.SIGCONT)
+        assert client.recv(99).startswith((b"HTTP/1.1 503", b"HTTP/1.1 202"))
+        client.close()
+        assert node.process.wait(timeout=5) == 0
+
+
+@pytest.mark.parametrize("which", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_before_the_configuration_is_read_ends_in_order(tmp_path, which):
+    node = Program(tmp_path, Endpoint())
+    pipe = tmp_path / "pipe"
+    os.mkfifo(pipe)
+    process = subprocess.Popen([sys.executable, "-m", "swiftthread"], stderr=subprocess.PIPE,
+                               env=os.environ | {"LB_CONFIG": str(pipe)})
+    writes = []
+
+    def reads():
+        try:
+            writes.append(os.open(pipe, os.O_WRONLY | os.O_NONBLOCK))
+        except OSError:
+            return False
+        return True
+    until(reads)
+    process.send_signal(which)
+    os.write(writes[0], node.conf.read_bytes())
+    os.close(writes[0])
+    assert process.wait(timeout=10) == 0
+    said_so = process.stderr.read().decode()
+    process.stderr.close()
+    node.discovery.listener.close()
+    assert "stopped; 0 events" in said_so and "Traceback" not in said_so
+
+
+def test_signals_again_and_again_until_the_exit_end_it_no_other_way(tmp_path):
+    with Program(tmp_path, Endpoint()) as node:
+        assert node.hand_in() == 202
+        began = time.monotonic()
+        while node.process.poll() is None:
+            assert time.monotonic() - began < 10.0
+            for which in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+                node.process.send_signal(which)
+            select.select([], [], [], 0.002)    # a storm would keep it from its work
+        assert node.process.returncode == 0 and not node.held()
+
+
+def test_a_decision_whose_notice_is_not_answered_outlasts_a_stop(tmp_path):
+    with Program(tmp_path, Endpoint(500)) as node:
+        node.discovery.refusing = 10 ** 6
+        assert node.hand_in("once") == 202
+        until(lambda: b"given_up" in node.ledger().read_bytes())
+        assert node.stop() == 0 and node.held() == {"evt-1"}
+        node.discovery.refusing = 0
+        node.start()
+        until(lambda: node.notices() == {"evt-1": "given_up"} and not node.held())
