An event is told its end before its time is up, and an answer that comes past its end acks nothing

Lines at fault: choice._allow waited to the event's very end, so that courier._ask found the answer beside the timer, and a time-out was told after the event's time; the door counted an event's time from when it was read, not from when it had come. Change: the last send of an event is waited for up to the margin before its end, as an event without a send is; an answer that the kernel had past the end is a time-out; the time of a hand-in counts from the kernel's moment of its first bytes.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -502,11 +502,15 @@
         """Whether it may travel with others. Guards them: a call ends for all when the time of one of its events
         is up, and one that has less left than a slow answer takes would break it off for the others. Hurts near
         the end of many events, each of which takes a slot."""
-        rest = evt.ends_at - now
+        rest = self._rest(evt, now)
         return rest >= sink.key.quiet() or self._allow(evt, sink, now) < rest
 
+    def _rest(self, evt, now):
+        """Ms for which an answer may be waited for: after that there must be time to tell the event's end."""
+        return evt.ends_at - self.margin - now
+
     def _allow(self, evt, sink, now):
-        rest = evt.ends_at - now
+        rest = self._rest(evt, now)
         if evt.stream.effect == NON_IDEMPOTENT:
             return max(1.0, rest)     # a time-out would only end it: nothing may follow
         cold = 2.0 if now - sink.cold_since < self.warm_up else 1.0
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -27,7 +27,7 @@
     """What travels in one call: the events' sends, each with the time until which it waits."""
 
     def __init__(self, sink):
-        self.sink, self.sends = sink, {}        # held -> (moment, whether its time ends then)
+        self.sink, self.sends = sink, {}        # held -> (moment, whether it may not go again after it)
         self.ends, self.done = {}, {}           # held -> End; held -> the flag that says so
         self.travel = []        # those that travel in it: not ended when its first byte went
 
@@ -68,7 +68,7 @@
         """The end of this send. It leaves at the end of this turn, with those that joined its call."""
         now = self.clock()
         letter = self.letters.setdefault(held.evt.call, Letter(send.sink))
-        letter.add(held, now + send.allow_ms, now + send.allow_ms >= held.evt.ends_at - 1.0)
+        letter.add(held, now + send.allow_ms, now + send.allow_ms >= self.leaves_by(held.evt, send.sink, now) - 1.0)
         await letter.done[held].wait()
         return letter.ends[held]
 
@@ -111,7 +111,8 @@
         latency = 0.0 if refused else self.clock() - started
         if answer.begun or answer.whole:
             latency = self._latency(line, *written)
-        self._read(letter, answer, outcome, latency, line is not None and line.idle_since is None)
+        came_at = self.wall() if line is None or line.came_at is None else line.came_at
+        self._read(letter, answer, outcome, latency, line is not None and line.idle_since is None, came_at)
 
     async def _ask(self, line, parts, answer, until, by):
         """Write a call, whose last byte must have left `by` then, and take in its answer `until` then: how it ended as
@@ -198,8 +199,9 @@
                 | ({"key": held.key} if held.key else {}) for held in letter.travel]
         return "/receive-many", [*headers, ("Content-Type", "application/json")], json.dumps(rows).encode()
 
-    def _read(self, letter, answer, outcome, latency, fresh):
-        """Give each event of the call its end. `fresh`: it was the first on its connection."""
+    def _read(self, letter, answer, outcome, latency, fresh, came_at):
+        """Give each event of the call its end. `fresh`: it was the first on its connection; `came_at`: Unix ms at which
+        the kernel had the answer. Past an event's end it acks nothing: whoever waited for it has been answered."""
         status, over, states = answer.status, False, {}
         told, report = _told(answer.headers), self._report(answer.headers)
         if answer.first == 200 and len(letter.travel) == 1:
@@ -220,6 +222,7 @@
         for held in letter.sends:
             state = states.get(held.ident)
             ended = STATES.get(state, outcome)
+            ended = plain.TIMEOUT if ended == plain.ACKED and came_at > held.ends_at else ended
             letter.end(held, End(ended, latency, told, over or state == OVER or ended == plain.ACKED, report))
 
     def _report(self, headers):
--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -82,7 +82,7 @@
 
     def _accept(self, listener, tasks):
         sock, _ = listener.accept()
-        line = Line(sock, self.buffers, h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD))
+        line = Line(sock, self.buffers, h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)).stamp()
         self.silent[line] = anyio.current_time()
         tasks.start_soon(self._client, line)
 
@@ -171,8 +171,8 @@
         try:
             while True:
                 try:
-                    request, body = await self._request(line, first)
-                    status, then, back_ms = self._handed_in(request, body)
+                    request, body, came_at = await self._request(line, first)
+                    status, then, back_ms = self._handed_in(request, body, came_at)
                     room = self.clients if status == 202 else room
                 except Bad as bad:
                     await self._answer(line, bad.status, True)
@@ -233,12 +233,14 @@
         waiting.flag.set()
 
     async def _request(self, line, first):
-        """The next request and its body; Bad when it is none, Broken when none comes."""
-        request, body = None, bytearray()
+        """The next request, its body, and the Unix ms at which it began to come; Bad when it is none, Broken when none
+        comes."""
+        request, body, came_at = None, bytearray(), None
         with anyio.move_on_after((self.first if first else self.idle) / 1000.0) as patience:
             while True:
                 if line not in self.asking and line.parser.trailing_data[0]:
                     self._to(self.asking, line)         # it has begun
+                    came_at = line.came_at
                     until = anyio.current_time() + self.request / 1000.0
                     patience.deadline = min(until, patience.deadline) if first else until
                 try:
@@ -260,7 +262,7 @@
                     if len(body) > MOST_BODY:
                         raise Bad(413)
                 elif isinstance(part, h11.EndOfMessage):
-                    return request, bytes(body)
+                    return request, bytes(body), came_at or self.wall()
                 else:
                     raise Broken(True)
         if line in self.asking:
@@ -279,8 +281,9 @@
         if b"content-length" in names and b"transfer-encoding" in names or any(names.count(n) > 1 for n in ONCE):
             raise Bad(400)
 
-    def _handed_in(self, request, body):
-        """(status, what to do once it is answered, ms after which to come back)."""
+    def _handed_in(self, request, body, came_at):
+        """(status, what to do once it is answered, ms after which to come back). Its time counts from the moment at which
+        it came: the client's does not stand still while it waits here to be read."""
         path = request.target.decode("latin-1").partition("?")[0]
         if request.method == b"GET" and path == "/_health":
             return 503 if self.closing else 200, None, 0.0
@@ -297,7 +300,7 @@
             raise Bad(400)
         left_ms = float(left[1]) / (1.0 if left[2] == "m" else 1000.0)
         subject = subject or headers.get("x-entity", "")
-        held = Held(ident, key, stream, int(dest[1]), self.wall() + left_ms,
+        held = Held(ident, key, stream, int(dest[1]), came_at + left_ms,
                     headers.get("x-org"),
                     zlib.crc32(subject.encode("latin-1")) + 1 if subject else 0, body)
         status, then, back_ms = self.take(held)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import termios
+import threading
 import time
 
 import anyio
@@ -22,6 +23,7 @@
 from swiftthread.service.choices import Intake
 from swiftthread.service.limits import Limits
 from swiftthread.store.buffers import Buffers
+from swiftthread.store.ledger import TAKEN, records
 from swiftthread.wire.door import Door
 from swiftthread.wire.line import Line, listening
 
@@ -248,3 +250,50 @@
         until(lambda: not node.held())
         assert len(endpoint.calls) == 2 + ("evt-2" == endpoint.idents()[0])
         assert node.notices() == ({"evt-1": "given_up"} if endpoint.idents()[0] == "evt-1" else {})
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_an_answer_that_came_past_its_event_s_end_acks_nothing_however_late_it_is_read(tmp_path, late):
+    """mill-once, roll+brink: a receiver that had hung answered in the instant in which an event ended, and it was lost."""
+    ends = []
+
+    def answer(conn):
+        until(lambda: time.monotonic() > ends[0] + (0.1 if late else -0.6))
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    endpoint = Endpoint(lambda _body: answer)
+    with Program(tmp_path, endpoint) as node:
+        ends.append(time.monotonic() + 1.5)
+        assert node.hand_in("once", left="1500m") == 202
+        until(lambda: endpoint.calls)
+        node.process.send_signal(signal.SIGSTOP)
+        until(lambda: time.monotonic() > ends[0] + 0.3)
+        node.process.send_signal(signal.SIGCONT)
+        until(lambda: not node.held())
+        assert node.notices() == ({"evt-1": "given_up"} if late else {})
+
+
+def test_a_hand_in_s_time_counts_from_when_it_came_and_not_from_when_it_is_read(tmp_path):
+    endpoint = Endpoint(None)
+    with Program(tmp_path, endpoint) as node:
+        with node.open() as client:
+            client.sendall(node.bytes_of("once", b"", left="9000m"))       # accepted, and known to ask
+            assert client.recv(99).startswith(b"HTTP/1.1 202")
+            node.process.send_signal(signal.SIGSTOP)
+            came = time.time()
+            client.sendall(node.bytes_of("once", b"", left="4000m"))
+            until(lambda: time.time() > came + 0.4)
+            node.process.send_signal(signal.SIGCONT)
+            assert client.recv(99).startswith(b"HTTP/1.1 202")
+        row = next(json.loads(payload[4:4 + struct.unpack_from("<I", payload)[0]]) for _, _, kind, payload
+                   in records(node.ledger().read_bytes()) if kind == TAKEN and b"evt-2" in payload)
+        assert came * 1000.0 + 3900.0 < row[4] < came * 1000.0 + 4100.0
+
+
+def test_an_event_whose_call_gets_no_answer_is_told_before_its_time_is_up(tmp_path):
+    with Program(tmp_path, Endpoint(None)) as node:
+        told = threading.Event()
+        node.discovery._ask_of, node.discovery.answer = node.discovery.answer, lambda *call: (
+            told.set() if call[0] == "POST" else None, node.discovery._ask_of(*call))[1]
+        ends = time.time() + 1.2
+        assert node.hand_in("once", left="1200m") == 202
+        assert told.wait(5.0) and time.time() < ends + 0.001
