--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -207,7 +207,7 @@
             dest, blocked = self.dests.setdefault(dest_no, Destination(dest_no)), -math.inf
             apart = bool(kind < len(self.apart_by_kind) and self.apart_by_kind[kind])
             if (old := self.sinks.get(ident)) and (old.dest is not dest or old.apart != apart):
-                self._gone(self.sinks.pop(ident))    # under its id it serves another destination now, or otherwise
+                self._gone(self.sinks.pop(ident))    # under its id it serves another now, or is of another kind
                 self.lost.pop(old, None)
                 blocked = old.key.blocked if old.dest is dest else blocked
             if ident not in self.sinks and not ready:
@@ -499,9 +499,9 @@
         return self.spread(0.8, 1.2) / (self.multiple * key.sure * present * (key.owed + share) / 2)
 
     def _shares(self, evt, sink, now):
-        """Whether it may travel with others. Guards them: a call ends for all when the time of one of its events
-        is up, and one that has less left than a slow answer takes would break it off for the others. Hurts near
-        the end of many events, each of which takes a slot."""
+        """Whether it may travel with others. Guards them: a call ends for all when the time of one of its
+        events is up, and one that has less left than a slow answer takes would break it off for the others.
+        Hurts near the end of many events, each of which takes a slot."""
         rest = self._rest(evt, now)
         return rest >= sink.key.quiet() or self._allow(evt, sink, now) < rest
 
--- a/swiftthread/service/start.py
+++ b/swiftthread/service/start.py
@@ -64,8 +64,8 @@
             buffers, lines = Buffers(), Lines(clock, limits.most_idle, limits.idle_lines)
             registry = Registry(told.discovery, buffers, told.kinds, told.zones, bounds.WATCH_QUIET_MS,
                                 bounds.PLATFORM_MS)
-            node = Node(told.seed, terms, told.streams, told.tenants, lambda module: Turns(module, clock, terms.get("tick_ms", 5.0)),
-                        ledger, clock, wall, limits, tasks)
+            node = Node(told.seed, terms, told.streams, told.tenants,
+                        lambda module: Turns(module, clock, terms.get("tick_ms", 5.0)), ledger, clock, wall, limits, tasks)
             node.courier = Courier(tasks, lines, buffers, clock, wall, registry.addresses, limits, told.report_names,
                                    node.module.leaves_by)
             node.notices = Notices(told.discovery, buffers, bounds.PLATFORM_MS, bounds.NOTICE_PAUSE_MS)
--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -51,8 +51,9 @@
         self.take, self.streams, self.buffers = take, streams, buffers
         self.limits, self.wall, self.first, self.request, self.idle = limits, wall, first_ms, request_ms, idle_ms
         # Connections -> since when, by what they do, the longest in front; emptied as they close. `leaving`: our side is
-        # shut down, or about to be; what still comes is read and dropped. `silent`: nothing came yet. `asking`: in a request. Between requests: `strangers`
-        # have handed in nothing yet (they asked after the node's health, say), `clients` have.
+        # shut down, or about to be; what still comes is read and dropped. `silent`: nothing came yet. `asking`: in a
+        # request. Between requests: `strangers` have handed in nothing yet (they asked after the node's health, say),
+        # `clients` have.
         self.leaving, self.silent, self.asking, self.strangers, self.clients = self.rooms = {}, {}, {}, {}, {}
         self.closing = False    # then each answer closes its connection
         # `ring` asks for a turn, in which `let_in` is called. Connections whose request waits to be read, oldest first.
