--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -207,7 +207,7 @@
             dest, blocked = self.dests.setdefault(dest_no, Destination(dest_no)), -math.inf
             apart = bool(kind < len(self.apart_by_kind) and self.apart_by_kind[kind])
             if (old := self.sinks.get(ident)) and (old.dest is not dest or old.apart != apart):
-                self._gone(self.sinks.pop(ident))    # under its id it serves another now, or is of another kind
+                self._gone(self.sinks.pop(ident))    # under its id it serves another now, or as another kind
                 self.lost.pop(old, None)
                 blocked = old.key.blocked if old.dest is dest else blocked
             if ident not in self.sinks and not ready:
