The door's connections at rest are listed and let go in one place

Found on reading the change again: close_idle, owes and end each spelled the three rooms, and _client asked room by room for all but one.

--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -119,15 +119,21 @@
         """Stop: connections between requests are let go, the others by their next answer. One that has just come is
         left alone for a while: its request may be on its way."""
         self.closing = True
-        ripe = anyio.current_time() - SILENT_S
-        for line in [*self.strangers, *self.clients, *[line for line, since in self.silent.items() if since <= ripe]]:
-            if line.fresh():
+        self._let_rest_go(anyio.current_time() - SILENT_S)
+
+    def _between(self):
+        """Connections on which no request is being read, and since when."""
+        return [*self.silent.items(), *self.strangers.items(), *self.clients.items()]
+
+    def _let_rest_go(self, silent_since):
+        """Let go all on which nothing has come; of those that never said anything, who connected by then."""
+        for line, since in self._between():
+            if line.fresh() and (since <= silent_since or line not in self.silent):
                 self._let_go(line)
 
     def owes(self):
         """Whether anybody waits for an answer: in a request, read or not."""
-        return bool(self.asking or self.outside) or not all(
-            line.fresh() for line in [*self.silent, *self.strangers, *self.clients])
+        return bool(self.asking or self.outside) or not all(line.fresh() for line, _ in self._between())
 
     async def end(self, listener, tasks):
         """The end of a stop: nobody else comes in, who has asked is answered, and all are let go. Guards what is still
@@ -141,9 +147,7 @@
         listener.close()
         with anyio.move_on_after(END_S):
             while any(self.rooms):
-                for line in [*self.silent, *self.strangers, *self.clients]:
-                    if line.fresh():
-                        self._let_go(line)
+                self._let_rest_go(math.inf)
                 self.ring()         # who waits outside is let in by a turn
                 await anyio.sleep(0.005)
 
@@ -195,7 +199,7 @@
                 self._to(room, line)
                 await checkpoint()      # many requests sent at once on one connection take turns with the others
         except Broken:      # gone, silent, or let go by us between requests
-            if line in self.leaving or line in self.silent or line in self.strangers or line in self.clients:
+            if line not in self.asking and any(line in room for room in self.rooms):
                 self._to(self.leaving, line)
                 await line.finish(LINGER_MS)
         except Exception:   # guards the other clients: a fault here ends this connection alone
