--- a/example/toy_server.py
+++ b/example/toy_server.py
@@ -2,6 +2,7 @@
 
 Keys while it runs: f + Enter makes the endpoints fail, w + Enter makes them tell a wait, o + Enter heals them.
 """
+
 import json
 import sys
 import threading
@@ -47,9 +48,23 @@
 
 class Discovery(Toy):
     def do_GET(self):
-        page = {"version": 1, "full": True, "servers": [
-            {"id": f"s-{port}", "addr": f"127.0.0.1:{port}", "zone": "here", "kind": "shop", "cell": 7,
-             "state": "SERVING", "weight": 20.0, "started_ms": 0} for port in ENDPOINTS]}
+        page = {
+            "version": 1,
+            "full": True,
+            "servers": [
+                {
+                    "id": f"s-{port}",
+                    "addr": f"127.0.0.1:{port}",
+                    "zone": "here",
+                    "kind": "shop",
+                    "cell": 7,
+                    "state": "SERVING",
+                    "weight": 20.0,
+                    "started_ms": 0,
+                }
+                for port in ENDPOINTS
+            ],
+        }
         if "watch=1" not in self.path:
             self.say(200, body=json.dumps(page).encode())
             return
@@ -79,7 +94,10 @@
         server = ThreadingHTTPServer(("127.0.0.1", port), kind)
         server.daemon_threads = True
         threading.Thread(target=server.serve_forever, daemon=True).start()
-    print("discovery on 8500, endpoints of destination 7 on 9101 and 9102; f, w or o + Enter, Ctrl-C ends", flush=True)
+    print(
+        "discovery on 8500, endpoints of destination 7 on 9101 and 9102; f, w or o + Enter, Ctrl-C ends",
+        flush=True,
+    )
     for line in sys.stdin:
         if line.strip() in ("f", "w", "o"):
             mood[0] = line.strip()
--- a/swiftthread/__main__.py
+++ b/swiftthread/__main__.py
@@ -1,4 +1,5 @@
 """One delivery node: `python -m swiftthread`. It is told all it needs by LB_CONFIG and its like."""
+
 import gc
 import os
 import signal
@@ -12,12 +13,12 @@
 from swiftthread.service.told import Told
 from swiftthread.terms import Malformed
 
-SAME_LINE_S = 5.0       # s: one place in the code writes at most one line in so long; a storm stays readable
+SAME_LINE_S = 5.0  # s: one place in the code writes at most one line in so long; a storm stays readable
 
 
 def sparing():
     """A filter that lets each place in the code through once in a while, and counts what it kept back."""
-    last = {}               # place -> [moment, lines kept back]; as many as there are places
+    last = {}  # place -> [moment, lines kept back]; as many as there are places
 
     def passes(row):
         seen = last.setdefault((row["file"].name, row["line"]), [-SAME_LINE_S, 0])
@@ -29,14 +30,21 @@
             row["message"] += f" (and {seen[1]} times before)"
         seen[:] = [now, 0]
         return True
+
     return passes
 
 
 def main():
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)   # until somebody listens
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # until somebody listens
     logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", filter=sparing(),
-               backtrace=False, diagnose=False)
+    logger.add(
+        sys.stderr,
+        format="{time:HH:mm:ss.SSS} {level} {message}",
+        level="INFO",
+        filter=sparing(),
+        backtrace=False,
+        diagnose=False,
+    )
     try:
         told = Told(os.environ)
     except Malformed as fault:
--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -6,50 +6,72 @@
 ask again after "later"). `probes`, `closes`, `wants_list`, `next_moment`: once a turn. Plain values:
 plain.py. The design, what was kept and changed: docs/design.md.
 """
+
 import hashlib
 import math
 import random
 from collections import deque
 from statistics import median
 
-from swiftthread.plain import (ACKED, CANCELLED, DEDUPLICATED, ERROR, FULL, IDEMPOTENT, KEPT, NEVER_RAN,
-                               NON_IDEMPOTENT, RESET, TABLE_FULL, TIMEOUT, UNREACHED, UNSENT, Call, Decline,
-                               Destination, Discard, Event, Later, Send, Wait)
+from swiftthread.plain import (
+    ACKED,
+    CANCELLED,
+    DEDUPLICATED,
+    ERROR,
+    FULL,
+    IDEMPOTENT,
+    KEPT,
+    NEVER_RAN,
+    NON_IDEMPOTENT,
+    RESET,
+    TABLE_FULL,
+    TIMEOUT,
+    UNREACHED,
+    UNSENT,
+    Call,
+    Decline,
+    Destination,
+    Discard,
+    Event,
+    Later,
+    Send,
+    Wait,
+)
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
-GROW = 0.08             # x first rate each second: clean growth past the level; slow beside a halving
-SEARCH_MS, SEARCH_MOST = 2000.0, 8.0    # ms since a cut for x1 of its growth, and most; 2 to 2,000/s in 20 s
-MOST_RATE = 1.5         # x listed: no node needs more than all of it, and the list may be somewhat low
-CUT = 0.5               # page: a refusal, an error run or risen latency halves the rate
-LEVEL_KEPT = 0.9        # x level: what a refusal leaves of the level that clean seconds lead back to
-CLEAN_MS = 1000.0       # page: a clean second doubles the rate; also the least time between two cuts
-ROUGH_SURE = 0.7        # of a roughly listed rate: it may be up to half too high
-LEAST_RATE = 0.001      # calls per ms, page: an unpaced key's first cut never goes under one a second
-BURST = 0.3             # intervals: little burst tolerance, one call early
-SLACK_MS = 20.0         # ms past its moment in which a slot counts as kept; a few turns of the caller
-RIDER = 0.05            # of an interval: what one more event in a call costs; it is work, not a call
-ALONE_MS = 1000.0       # ms without an ack after which one unanswered or unreached call tells of an outage
-ERROR_RUN = 3           # calls failing in a row, none between: an error run; two can be chance
+GROW = 0.08  # x first rate each second: clean growth past the level; slow beside a halving
+SEARCH_MS, SEARCH_MOST = 2000.0, 8.0  # ms since a cut for x1 of its growth, and most; 2 to 2,000/s in 20 s
+MOST_RATE = 1.5  # x listed: no node needs more than all of it, and the list may be somewhat low
+CUT = 0.5  # page: a refusal, an error run or risen latency halves the rate
+LEVEL_KEPT = 0.9  # x level: what a refusal leaves of the level that clean seconds lead back to
+CLEAN_MS = 1000.0  # page: a clean second doubles the rate; also the least time between two cuts
+ROUGH_SURE = 0.7  # of a roughly listed rate: it may be up to half too high
+LEAST_RATE = 0.001  # calls per ms, page: an unpaced key's first cut never goes under one a second
+BURST = 0.3  # intervals: little burst tolerance, one call early
+SLACK_MS = 20.0  # ms past its moment in which a slot counts as kept; a few turns of the caller
+RIDER = 0.05  # of an interval: what one more event in a call costs; it is work, not a call
+ALONE_MS = 1000.0  # ms without an ack after which one unanswered or unreached call tells of an outage
+ERROR_RUN = 3  # calls failing in a row, none between: an error run; two can be chance
 WINDOW, RISEN = 24, 2.0  # latencies for a median, at a cv of 1.4; page: risen is over this many times its low
-RISE_MS = 40.0          # ms: a rise by less harms no SLO time; calls that leave together wait for each other
-USUAL_MS = 350.0        # ms: latency assumed before the first was seen
-MOSTLY_BAD = 0.6        # share of failed calls, smoothed, from which a sink counts as failing
-SMOOTH = 0.15           # weight of the newest call in that share; about the last dozen calls
-QUIET_MS, QUIET_CALLS = 700.0, 4.0   # ms, x usual latency: no outcome for both is quiet; over a brief stall
-TRY_MS = 300.0          # ms: least pause before a failing sink is tried; a few round trips
+RISE_MS = 40.0  # ms: a rise by less harms no SLO time; calls that leave together wait for each other
+USUAL_MS = 350.0  # ms: latency assumed before the first was seen
+MOSTLY_BAD = 0.6  # share of failed calls, smoothed, from which a sink counts as failing
+SMOOTH = 0.15  # weight of the newest call in that share; about the last dozen calls
+QUIET_MS, QUIET_CALLS = 700.0, 4.0  # ms, x usual latency: no outcome for both is quiet; over a brief stall
+TRY_MS = 300.0  # ms: least pause before a failing sink is tried; a few round trips
 ALLOW_MS, ALLOW_CALLS, ALLOW_MOST_MS = 1200.0, 8.0, 6000.0  # ms + x usual latency, at most; a long tail's p99
-ALLOW_REST = 0.6        # of the repeat window or the rest of the max age, so that another send fits inside
+ALLOW_REST = 0.6  # of the repeat window or the rest of the max age, so that another send fits inside
 USUAL_SPAN_MS = 10000.0  # ms: span of the smoothed rate of acked calls, this node's usual part of a key
-BUSY = 0.33             # of the SLO time (mean by utility): nodes with an event in it share a key's rate
-AT_ONCE = 0.5           # of the time for a connect: one that fails sooner was refused, not unanswered
-CROWDED_MS = 20000.0    # ms for which a refused connect says that the endpoint's table is short of room
+BUSY = 0.33  # of the SLO time (mean by utility): nodes with an event in it share a key's rate
+AT_ONCE = 0.5  # of the time for a connect: one that fails sooner was refused, not unanswered
+CROWDED_MS = 20000.0  # ms for which a refused connect says that the endpoint's table is short of room
 USED, PLACE_MS = 0.2, 50.0  # share of the time from which a connection is kept: in use, or being made anew
-FELL = 0.6              # of the limit held true: a told limit below that is a fall, not noise
+FELL = 0.6  # of the limit held true: a told limit below that is a fall, not noise
 SHUT_MS, REFUSED_RUN = 2100.0, 1  # ms told to wait, or refused in a row for that long: shut; fewer are chance
-SHUN_MS = 5000.0        # ms for which a stream type goes past an endpoint that failed it; some SLO times
-SCARCE = 0.7            # of the slots: from here no destination may take more than half of those out
-CROWDED = 0.92          # of the holding room: from here the longest queues are declined
-MARGIN_MS = 12.0        # ms before a bound at which the event is answered; two turns of the caller
+SHUN_MS = 5000.0  # ms for which a stream type goes past an endpoint that failed it; some SLO times
+SCARCE = 0.7  # of the slots: from here no destination may take more than half of those out
+CROWDED = 0.92  # of the holding room: from here the longest queues are declined
+MARGIN_MS = 12.0  # ms before a bound at which the event is answered; two turns of the caller
 
 
 class Key:
@@ -58,16 +80,16 @@
     def __init__(self, listed, nodes, sure, busy):
         self.due = self.blocked = self.changed = self.cut_at = self.pressed = -math.inf
         self.named = self.even = self.fair = self.listed = None
-        self.busy, self.sure = busy, sure                # ms in which nodes share the rate; trust in the list
+        self.busy, self.sure = busy, sure  # ms in which nodes share the rate; trust in the list
         if listed:
             self.hold_true(listed, nodes, sure)
-        self.rate = self.level = self.even               # None: unpaced until the first cut
-        self.acks = deque()                              # moments; emptied after a second
+        self.rate = self.level = self.even  # None: unpaced until the first cut
+        self.acks = deque()  # moments; emptied after a second
         self.took, self.low, self.usual = deque(maxlen=WINDOW), None, USUAL_MS
-        self.since, self.run, self.left, self.served = 0, 0, 1.0, True   # served: an ack since the last cut
-        self.ride = (None, -math.inf, 0)                 # call that others may join this turn
-        self.part, self.part_at, self.owed = 0.0, 0.0, 0.0   # usual acked calls per ms; at its last outage
-        self.out_since = self.cold_due = -math.inf       # when that began, and the next cold send
+        self.since, self.run, self.left, self.served = 0, 0, 1.0, True  # served: an ack since the last cut
+        self.ride = (None, -math.inf, 0)  # call that others may join this turn
+        self.part, self.part_at, self.owed = 0.0, 0.0, 0.0  # usual acked calls per ms; at its last outage
+        self.out_since = self.cold_due = -math.inf  # when that began, and the next cold send
 
     def hold_true(self, listed, nodes, sure):
         """Calls per ms, a node's part among those busy there at a time (`even`), among all (`fair`)."""
@@ -92,14 +114,14 @@
         if self.rate is None:
             served = sum(now - at <= 1000.0 for at in self.acks) / 1000.0
             self.rate = self.level = max(LEAST_RATE / CUT, served)
-            self.due = now + 1.0 / self.rate     # nothing was booked while it was unpaced
+            self.due = now + 1.0 / self.rate  # nothing was booked while it was unpaced
         # Refusals lead to the even part, not below, unless nothing was served since: then the list is wrong.
         due = self.fair * self.sure if self.even and self.served else LEAST_RATE / 4
         if refused:
             self.level = max(min(self.level, max(self.rate, due)) * LEVEL_KEPT, due)
         rate, self.rate, self.changed, self.cut_at = self.rate, max(self.rate * CUT, due * CUT), now, now
         self.served = False
-        self.due = max(now, self.due) + 1.0 / self.rate - 1.0 / rate     # what was booked is booked anew
+        self.due = max(now, self.due) + 1.0 / self.rate - 1.0 / rate  # what was booked is booked anew
 
     def acked(self, now, latency, slow_everywhere):
         self.run, self.served = 0, True
@@ -148,23 +170,47 @@
         self.out, self.heard, self.bad, self.run = 0, -math.inf, 0.0, 0
         self.down, self.silent, self.probing, self.proved = False, False, False, False
         self.run_since, self.cold_since, self.acked_at, self.crowded_at = 0.0, -math.inf, -math.inf, -math.inf
-        self.again_at = -math.inf       # after a full table; an unpaced key has no other pause
-        self.shunned = {}    # stream type -> until when; one entry a stream type, emptied by an ack
+        self.again_at = -math.inf  # after a full table; an unpaced key has no other pause
+        self.shunned = {}  # stream type -> until when; one entry a stream type, emptied by an ack
 
 
 class Dispatcher:
-    def __init__(self, seed, *, streams=(), nodes=1, position=0, slots=math.inf, room=math.inf, most_sends=8,
-                 batch_by_kind=(), apart_by_kind=(), carriage_by_zone=(), halving=False, listed_rates="off",
-                 quotas=(), over_quota_utility=1.0, may_probe=False, may_advise=False, most_advice_ms=0.0,
-                 asks_for_list=False, fall_multiple=1.0, cold_from=0.15, warm_up_ms=20000.0, key_rest_ms=0.0,
-                 tick_ms=5.0, keepalive_ms=math.inf, connect_ms=0.0):
+    def __init__(
+        self,
+        seed,
+        *,
+        streams=(),
+        nodes=1,
+        position=0,
+        slots=math.inf,
+        room=math.inf,
+        most_sends=8,
+        batch_by_kind=(),
+        apart_by_kind=(),
+        carriage_by_zone=(),
+        halving=False,
+        listed_rates="off",
+        quotas=(),
+        over_quota_utility=1.0,
+        may_probe=False,
+        may_advise=False,
+        most_advice_ms=0.0,
+        asks_for_list=False,
+        fall_multiple=1.0,
+        cold_from=0.15,
+        warm_up_ms=20000.0,
+        key_rest_ms=0.0,
+        tick_ms=5.0,
+        keepalive_ms=math.inf,
+        connect_ms=0.0,
+    ):
         self.spread = random.Random(seed).uniform
         self.streams, self.nodes, self.position = list(streams), max(1, nodes), position
         self.slots, self.room, self.most_sends = slots, room * CROWDED, most_sends
         self.batch_by_kind, self.apart_by_kind = list(batch_by_kind), list(apart_by_kind)
         utility = sum(s.utility for s in self.streams)
         self.busy = BUSY * sum(s.utility * s.slo_ms for s in self.streams) / utility if utility else 1000.0
-        self.fees = [fee * utility / max(1, len(self.streams)) for fee in carriage_by_zone]    # utility units
+        self.fees = [fee * utility / max(1, len(self.streams)) for fee in carriage_by_zone]  # utility units
         self.halving, self.has_rates = halving, listed_rates in ("nominal", "rough")
         self.over_quota, self.longest = over_quota_utility, max([s.max_age_ms for s in self.streams] or [1e3])
         self.quota = [[1000.0 * self.nodes / q if q else 0.0, 0.0] for q in quotas]  # [interval, due]
@@ -173,10 +219,10 @@
         self.sure = ROUGH_SURE if listed_rates == "rough" else 1.0
         self.multiple, self.cold_from, self.warm_up = fall_multiple, cold_from, max(1.0, warm_up_ms)
         self.key_rest, self.margin, self.keepalive = key_rest_ms, max(MARGIN_MS, 2 * tick_ms), keepalive_ms
-        self.dests, self.sinks = {}, {}      # by number, as the list names them; sinks leave when long gone
-        self.turns = {}      # subject -> [events in order taken, rest until]; emptied when over and rested
-        self.lost = {}       # sinks that are down, in the order they went; emptied by an ack or the list
-        self.idle = {}       # sinks whose last call out has ended; emptied each turn
+        self.dests, self.sinks = {}, {}  # by number, as the list names them; sinks leave when long gone
+        self.turns = {}  # subject -> [events in order taken, rest until]; emptied when over and rested
+        self.lost = {}  # sinks that are down, in the order they went; emptied by an ack or the list
+        self.idle = {}  # sinks whose last call out has ended; emptied each turn
         self.connect, self.out, self.held = AT_ONCE * connect_ms, 0, 0
 
     def take(self, now, stream_no, dest_no, left, tenant=None, subject=0):
@@ -196,7 +242,7 @@
             return stream.utility
         # Who is no tenant has no share, least of all another's: all of it is beyond one.
         share = self.quota[tenant] if tenant is not None and tenant < len(self.quota) else [0.0, math.inf]
-        if share[1] > now + 2000.0:       # over its share by two seconds of it: worth little
+        if share[1] > now + 2000.0:  # over its share by two seconds of it: worth little
             return stream.utility * self.over_quota
         share[1] = max(now, share[1]) + share[0] if share[0] else 0.0
         return stream.utility
@@ -207,7 +253,7 @@
             dest, blocked = self.dests.setdefault(dest_no, Destination(dest_no)), -math.inf
             apart = bool(kind < len(self.apart_by_kind) and self.apart_by_kind[kind])
             if (old := self.sinks.get(ident)) and (old.dest is not dest or old.apart != apart):
-                self._gone(self.sinks.pop(ident))    # under its id it serves another now, or as another kind
+                self._gone(self.sinks.pop(ident))  # under its id it serves another now, or as another kind
                 self.lost.pop(old, None)
                 blocked = old.key.blocked if old.dest is dest else blocked
             if ident not in self.sinks and not ready:
@@ -223,9 +269,9 @@
                 dest.key = dest.key or sink.key
             elif listed and listed != sink.key.named:
                 sink.key.hold_true(listed, self.nodes, self.sure)
-            sink.key.named = listed or sink.key.named    # as the list names it, not as reports correct it
-            sink.key.blocked = max(sink.key.blocked, blocked)       # a told wait outlasts the change
-            sink.apart, sink.ready, sink.zone = apart, ready, zone    # it may come back elsewhere
+            sink.key.named = listed or sink.key.named  # as the list names it, not as reports correct it
+            sink.key.blocked = max(sink.key.blocked, blocked)  # a told wait outlasts the change
+            sink.apart, sink.ready, sink.zone = apart, ready, zone  # it may come back elsewhere
             sink.batch = self.batch_by_kind[kind] if kind < len(self.batch_by_kind) else 1
             sink.fee = self.fees[zone] if apart and zone < len(self.fees) else 0.0
             if ready and sink not in dest.sinks:
@@ -327,8 +373,8 @@
         if call.left == 0:
             self.out, sink.out, self.idle[sink] = self.out - 1, sink.out - 1, True
             if outcome in (UNSENT, KEPT) and not call.learnt and sink.key.rate:
-                sink.key.due -= 1.0 / sink.key.rate     # nobody was called: its slot is the next one's
-        if told > 0 and outcome != UNSENT:   # each event of a call may be told a wait of its own
+                sink.key.due -= 1.0 / sink.key.rate  # nobody was called: its slot is the next one's
+        if told > 0 and outcome != UNSENT:  # each event of a call may be told a wait of its own
             self._told(sink.key, now + told + 1.0)
             if outcome == FULL and told > SHUT_MS and not sink.down:
                 self._lose(sink, now, True)
@@ -375,8 +421,14 @@
 
     def _wants_probe(self, sink):
         # Only a sink that went silent: elsewhere an event that is tried loses nothing.
-        return (self.may_probe and sink.down and sink.silent and sink.ready and sink.dest.held > 0
-                and not (sink.proved or sink.probing or sink.out))
+        return (
+            self.may_probe
+            and sink.down
+            and sink.silent
+            and sink.ready
+            and sink.dest.held > 0
+            and not (sink.proved or sink.probing or sink.out)
+        )
 
     def probed(self, ident, outcome, now, latency, report=None):
         if sink := self.sinks.get(ident):
@@ -438,6 +490,7 @@
                 queue = evt.dest.held / row[0].key.rate if row[1] > now and row[0].key.rate else 0.0
                 start = max(row[1], now) + queue
                 return self._value(evt, start + row[0].key.usual) - row[0].fee, -start
+
             best = max(rows, key=worth)
             if best[1] > now:
                 if best[1] < math.inf and best[1] > best[0].key.blocked:
@@ -512,11 +565,14 @@
     def _allow(self, evt, sink, now):
         rest = self._rest(evt, now)
         if evt.stream.effect == NON_IDEMPOTENT:
-            return max(1.0, rest)     # a time-out would only end it: nothing may follow
+            return max(1.0, rest)  # a time-out would only end it: nothing may follow
         cold = 2.0 if now - sink.cold_since < self.warm_up else 1.0
         allow = min(cold * (ALLOW_MS + ALLOW_CALLS * sink.key.usual), ALLOW_MOST_MS)
-        most = ALLOW_REST * evt.stream.window_ms if evt.stream.effect == DEDUPLICATED \
+        most = (
+            ALLOW_REST * evt.stream.window_ms
+            if evt.stream.effect == DEDUPLICATED
             else max(ALLOW_MS, ALLOW_REST * rest)
+        )
         return max(1.0, min(allow, most, rest))
 
     def _learn(self, sink, outcome, now, latency, report):
@@ -524,14 +580,14 @@
         if report:
             limit = report.get("x1", 0.0) / 1000.0
             key.left = report.get("x0", 1.0) if limit > 0 else 1.0
-            if limit > 0 and key.listed:    # it replaces the listed rate: noise smoothed, a fall at once
+            if limit > 0 and key.listed:  # it replaces the listed rate: noise smoothed, a fall at once
                 fresh = key.sure < 1.0 or limit < FELL * key.listed
                 key.hold_true(key.listed + (limit - key.listed) * (1.0 if fresh else SMOOTH), self.nodes, 1.0)
                 key.rate = min(key.rate or math.inf, key.listed)
         if outcome in (CANCELLED, UNSENT, KEPT):
             return
         sink.heard = now
-        if outcome == TABLE_FULL:   # neither its limit nor its health: it answered that its table is full
+        if outcome == TABLE_FULL:  # neither its limit nor its health: it answered that its table is full
             sink.crowded_at, sink.again_at = now, now + TRY_MS * self.spread(0.5, 1.5)
             return
         if outcome == ACKED:
@@ -555,11 +611,22 @@
         sink.silent, sink.proved = outcome == TIMEOUT, False
         if sink.down:
             return
-        if sink.bad > MOSTLY_BAD or sink.run >= ERROR_RUN and outcome != FULL \
-                or sink.run > REFUSED_RUN and outcome == FULL and now - sink.run_since > SHUT_MS \
-                or (outcome == TIMEOUT or outcome == UNREACHED and latency >= self.connect
-                    or key.run >= ERROR_RUN and outcome in (UNREACHED, ERROR)) \
-                and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS:
+        if (
+            sink.bad > MOSTLY_BAD
+            or sink.run >= ERROR_RUN
+            and outcome != FULL
+            or sink.run > REFUSED_RUN
+            and outcome == FULL
+            and now - sink.run_since > SHUT_MS
+            or (
+                outcome == TIMEOUT
+                or outcome == UNREACHED
+                and latency >= self.connect
+                or key.run >= ERROR_RUN
+                and outcome in (UNREACHED, ERROR)
+            )
+            and now - max(sink.acked_at, sink.cold_since + self.warm_up) > ALONE_MS
+        ):
             # The last: a node of little traffic may see one call fail in all of an outage, and counts.
             self._lose(sink, now, outcome == FULL)
         elif key.run >= ERROR_RUN and outcome != FULL:
@@ -569,7 +636,7 @@
         """Guards against an outage of the whole destination of which this node sees little: endpoints beside
         it that long acked nothing get one trial, none when shut. Hurts where one endpoint alone is out."""
         if self.sinks.get(sink.ident) is not sink:
-            return                  # its call outlasted it: another is listed under its id, or none
+            return  # its call outlasted it: another is listed under its id, or none
         key = sink.key
         beside = [s for s in sink.dest.sinks if s.key is key and s is not sink]
         if not any(s.down or now - s.cold_since < self.warm_up for s in [sink, *beside]):
@@ -605,8 +672,12 @@
         return last
 
     def _spent(self, evt, now):
-        return (now >= self.last_moment(evt, now) or evt.sends >= self.most_sends
-                or evt.maybe_at is not None and evt.stream.effect == NON_IDEMPOTENT)
+        return (
+            now >= self.last_moment(evt, now)
+            or evt.sends >= self.most_sends
+            or evt.maybe_at is not None
+            and evt.stream.effect == NON_IDEMPOTENT
+        )
 
     def harmless(self, evt):
         """Whether handing it back can do no harm."""
--- a/swiftthread/drill/__main__.py
+++ b/swiftthread/drill/__main__.py
@@ -1,4 +1,5 @@
 """Serve the drill's wire on standard input and output until the input ends."""
+
 import sys
 
 from swiftthread.drill import codec
--- a/swiftthread/drill/codec.py
+++ b/swiftthread/drill/codec.py
@@ -1,4 +1,5 @@
 """The drill's binary frames: records in, records out, and the wire's words turned into ours."""
+
 import struct
 
 from swiftthread import plain
@@ -8,10 +9,17 @@
 EVENT_SIZE, ACTION_SIZE = 48, 24
 CREATE, VIEW, CHECKED, RESOLVED, JOB_IN, OPENED, DROPPED, PEER, RING, PAGE, SHUTDOWN = range(16, 27)
 EVENTS = {
-    CREATE: struct.Struct("<HQII"), VIEW: struct.Struct("<HBQB"), CHECKED: struct.Struct("<HIHdB4f"),
-    RESOLVED: struct.Struct("<HIdIBHHIB4f"), JOB_IN: struct.Struct("<HIdIQdBBf"),
-    OPENED: struct.Struct("<HIHId"), DROPPED: struct.Struct("<HI"), PEER: struct.Struct("<HHII"),
-    RING: struct.Struct("<HI"), PAGE: struct.Struct("<BII"), SHUTDOWN: struct.Struct("<H"),
+    CREATE: struct.Struct("<HQII"),
+    VIEW: struct.Struct("<HBQB"),
+    CHECKED: struct.Struct("<HIHdB4f"),
+    RESOLVED: struct.Struct("<HIdIBHHIB4f"),
+    JOB_IN: struct.Struct("<HIdIQdBBf"),
+    OPENED: struct.Struct("<HIHId"),
+    DROPPED: struct.Struct("<HI"),
+    PEER: struct.Struct("<HHII"),
+    RING: struct.Struct("<HI"),
+    PAGE: struct.Struct("<BII"),
+    SHUTDOWN: struct.Struct("<H"),
 }
 ENTRY = struct.Struct("<BBfHIdB")
 ISSUE, BUSY, GIVE_UP = struct.Struct("<BHIId5x"), struct.Struct("<BHId9x"), struct.Struct("<BHI17x")
@@ -19,8 +27,16 @@
 ENDPOINT, TEXT = struct.Struct("<BHI17x"), struct.Struct("<BHII13x")
 LISTEN, GET_LIST, ANNOUNCE = struct.Struct("<BHB20x"), struct.Struct("<BH21x"), struct.Struct("<BHHII11x")
 
-OUTCOMES = {200: plain.ACKED, 502: plain.ERROR, 429: plain.FULL, 408: plain.TIMEOUT, 521: plain.UNREACHED,
-            520: plain.RESET, 444: plain.CANCELLED, 409: plain.UNSENT}
+OUTCOMES = {
+    200: plain.ACKED,
+    502: plain.ERROR,
+    429: plain.FULL,
+    408: plain.TIMEOUT,
+    521: plain.UNREACHED,
+    520: plain.RESET,
+    444: plain.CANCELLED,
+    409: plain.UNSENT,
+}
 FAILED_VIEW, DELTA_VIEW, WHOLE_VIEWS = 3, 2, (0, 4)
 READY, DRAINING, GONE = 2, 3, 0
 
@@ -39,7 +55,7 @@
     body = stream.read(size - HEADER.size)
     if len(body) < size - HEADER.size:
         raise Malformed(f"batch {number}: input ends after {len(body) + HEADER.size} bytes of {size}")
-    return number, clock * 1000.0, records(number, body, count), memoryview(body)[count * EVENT_SIZE:]
+    return number, clock * 1000.0, records(number, body, count), memoryview(body)[count * EVENT_SIZE :]
 
 
 def records(number, body, count):
@@ -55,7 +71,7 @@
 def tail_part(tail, offset, length):
     if offset + length > len(tail):
         raise Malformed(f"the tail has {len(tail)} bytes, but {offset}+{length} are named")
-    return tail[offset:offset + length]
+    return tail[offset : offset + length]
 
 
 def entries(tail, offset, count):
--- a/swiftthread/drill/hosting.py
+++ b/swiftthread/drill/hosting.py
@@ -1,4 +1,5 @@
 """Hosts the instances of one process: their events in hand and their timers, and nothing shared."""
+
 import heapq
 from itertools import count
 
@@ -13,11 +14,11 @@
     def __init__(self, number, seed, terms, report_names):
         self.number, self.report_names = number, report_names
         self.node = Dispatcher(seed, **terms)
-        self.held = {}            # ticket -> event; emptied by its final answer or withdrawal
-        self.out = {}             # ticket -> event with a send out; emptied by the outcome
-        self.asks, self.turn = [], count()   # heap of (moment, turn, event); emptied as moments pass
-        self.moments = {}         # ticket -> its moment in the heap; emptied when that passes
-        self.waiting = {}         # ticket -> event to ask after any outcome; emptied when asked
+        self.held = {}  # ticket -> event; emptied by its final answer or withdrawal
+        self.out = {}  # ticket -> event with a send out; emptied by the outcome
+        self.asks, self.turn = [], count()  # heap of (moment, turn, event); emptied as moments pass
+        self.moments = {}  # ticket -> its moment in the heap; emptied when that passes
+        self.waiting = {}  # ticket -> event to ask after any outcome; emptied when asked
         self.to_ask, self.stirred, self.ring_at = [], False, None
 
     def ask(self, evt):
@@ -46,8 +47,15 @@
         evt = self.out.pop(ticket, None)
         if evt is None:
             raise codec.Malformed(f"an outcome for ticket {ticket}, which has no send out")
-        answer = self.node.after(evt, codec.outcome(code), now, delay * 1000.0, float(remark), bool(over),
-                                 codec.report(self.report_names, stats[0], stats[1:]))
+        answer = self.node.after(
+            evt,
+            codec.outcome(code),
+            now,
+            delay * 1000.0,
+            float(remark),
+            bool(over),
+            codec.report(self.report_names, stats[0], stats[1:]),
+        )
         self.stirred = True
         if over:
             self.held.pop(ticket, None)
@@ -83,7 +91,9 @@
         if self.node.wants_list(now):
             reply.listen(self.number)
         at = min(self.asks[0][0] if self.asks else float("inf"), self.node.next_moment(now))
-        if at < float("inf") and (self.ring_at is None or at < self.ring_at - 1e-3 or self.ring_at <= now + 1e-3):
+        if at < float("inf") and (
+            self.ring_at is None or at < self.ring_at - 1e-3 or self.ring_at <= now + 1e-3
+        ):
             self.ring_at = at
             reply.ring(self.number, max(0.0, at - now), 1)
 
@@ -92,9 +102,9 @@
     """All instances of this process, by number, and the numbered lists of the wire."""
 
     def __init__(self):
-        self.instances = {}       # number -> instance; emptied by a shutdown
-        self.pages = {}           # list number (0 to 15) -> entries; replaced by the next of the number
-        self.dead = set()         # numbers once started and shut since; emptied by a new start
+        self.instances = {}  # number -> instance; emptied by a shutdown
+        self.pages = {}  # list number (0 to 15) -> entries; replaced by the next of the number
+        self.dead = set()  # numbers once started and shut since; emptied by a new start
 
     def instance(self, number):
         if number not in self.instances:
@@ -108,7 +118,7 @@
                 node = self.event(code, fields, tail, now, reply)
             except codec.Malformed as fault:
                 raise codec.Malformed(f"batch {number}, record {place}: {fault}") from None
-            except Exception as fault:   # the decisions failed: the wire has an action for it
+            except Exception as fault:  # the decisions failed: the wire has an action for it
                 reply.fault(fields[0], f"batch {number}, record {place}: {type(fault).__name__}: {fault}")
                 return
             if node is not None:
@@ -163,7 +173,12 @@
             inst.withdrawn(fields[1], now)
         elif code == codec.CHECKED:
             _, endpoint, outcome, delay, n, *values = fields
-            inst.node.probed(endpoint, codec.outcome(outcome), now, delay * 1000.0,
-                             codec.report(inst.report_names, n, values))
+            inst.node.probed(
+                endpoint,
+                codec.outcome(outcome),
+                now,
+                delay * 1000.0,
+                codec.report(inst.report_names, n, values),
+            )
             inst.stirred = True
-        return inst    # a timer, a started stream or a peer's word only gives the instance its turn
+        return inst  # a timer, a started stream or a peer's word only gives the instance its turn
--- a/swiftthread/lab/__main__.py
+++ b/swiftthread/lab/__main__.py
@@ -1,4 +1,5 @@
 """`python -m swiftthread.lab`: the laboratory's command line."""
+
 from swiftthread.lab.cli import main
 
 if __name__ == "__main__":
--- a/swiftthread/lab/builds.py
+++ b/swiftthread/lab/builds.py
@@ -1,4 +1,5 @@
 """Builds to compare: this tree, or another git revision in a worktree of its own, taken away afterwards."""
+
 import shutil
 import subprocess
 import tempfile
--- a/swiftthread/lab/capacity.py
+++ b/swiftthread/lab/capacity.py
@@ -1,4 +1,5 @@
 """The limits of one node at closed-loop clients, beside the floor program and the baselines' way of sending."""
+
 import json
 from pathlib import Path
 
@@ -33,7 +34,7 @@
 room = 4000
 sockets = 4096
 """
-CLIENTS_EACH = 128      # clients in one process of the load tool, so that none is the bottleneck
+CLIENTS_EACH = 128  # clients in one process of the load tool, so that none is the bottleneck
 
 
 async def measure(counts, seconds, into, say):
@@ -68,6 +69,8 @@
     yield "clients  node         taken   acked  refused  acked/s  CPU ms/ack  p50 ms  p99 ms  RSS MiB  void"
     for row in rows:
         counts, hand_in = row["counts"], row["hand_in_ms"]
-        yield (f"{row['clients']:7}  {row['node']:11} {counts.get('taken', 0):6}  {counts.get('acked', 0):6}  "
-               f"{counts.get('refused', 0):7}  {row['acked_per_s']:7.0f}  {row['cpu_ms_per_acked']:10.2f}  "
-               f"{hand_in['p50']:6.1f}  {hand_in['p99']:6.1f}  {row['rss_mib']:7.0f}  {row['void'] or '-'}")
+        yield (
+            f"{row['clients']:7}  {row['node']:11} {counts.get('taken', 0):6}  {counts.get('acked', 0):6}  "
+            f"{counts.get('refused', 0):7}  {row['acked_per_s']:7.0f}  {row['cpu_ms_per_acked']:10.2f}  "
+            f"{hand_in['p50']:6.1f}  {hand_in['p99']:6.1f}  {row['rss_mib']:7.0f}  {row['void'] or '-'}"
+        )
--- a/swiftthread/lab/cli.py
+++ b/swiftthread/lab/cli.py
@@ -1,4 +1,5 @@
 """The laboratory's commands. Each loads what it uses, and ends with 0 (kept all rules), 1 (did not) or 2 (bad input)."""
+
 import asyncio
 import gc
 import json
@@ -15,6 +16,7 @@
 
 class Unusable(click.ClickException):
     """Bad input: lines on standard error, and 2."""
+
     exit_code = 2
 
     def show(self, file=None):
@@ -69,7 +71,10 @@
 def carried_out(work, *args):
     """Run it with Ctrl-C and SIGTERM both as an orderly end of everything that was started."""
     from swiftthread.lab.runner import Trouble
-    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))     # the loop turns that into a cancel
+
+    signal.signal(
+        signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT)
+    )  # the loop turns that into a cancel
     try:
         return anyio.run(work, *args)
     except* Trouble as faults:
@@ -90,13 +95,19 @@
 def told_of(result):
     """A run's result as lines for a terminal."""
     counts = result["counts"]
-    yield (f"{result['script']} (seed {result['seed']}, {result['node']}): service {result['measure']:.3f}, "
-           f"{len(result['breaches'])} broken rules")
-    yield (f"  {counts.get('events', 0)} events, {counts.get('acked', 0)} acked, {counts.get('refused', 0)} refused at "
-           f"the door, {counts.get('handed_back', 0)} handed back, {counts.get('given_up', 0)} given up")
+    yield (
+        f"{result['script']} (seed {result['seed']}, {result['node']}): service {result['measure']:.3f}, "
+        f"{len(result['breaches'])} broken rules"
+    )
+    yield (
+        f"  {counts.get('events', 0)} events, {counts.get('acked', 0)} acked, {counts.get('refused', 0)} refused at "
+        f"the door, {counts.get('handed_back', 0)} handed back, {counts.get('given_up', 0)} given up"
+    )
     hand_in = result["hand_in_ms"]
-    yield (f"  hand-in p50 {hand_in['p50']:.1f} ms, p99 {hand_in['p99']:.1f} ms; CPU {result['cpu_ms_per_acked']:.2f} "
-           f"ms per acked event; RSS {result['rss_mib']:.0f} MiB")
+    yield (
+        f"  hand-in p50 {hand_in['p50']:.1f} ms, p99 {hand_in['p99']:.1f} ms; CPU {result['cpu_ms_per_acked']:.2f} "
+        f"ms per acked event; RSS {result['rss_mib']:.0f} MiB"
+    )
     if result["void"]:
         yield f"  VOID: {result['void']}"
     for breach in result["breaches"][:10]:
@@ -106,8 +117,12 @@
 @main.command()
 @click.argument("path")
 @click.option("--seed", type=int, help="Of all chance; the script's own by default.")
-@click.option("--node", default="swiftthread", show_default=True,
-              help="swiftthread, once, backoff, aimd, floor, or exec:COMMAND.")
+@click.option(
+    "--node",
+    default="swiftthread",
+    show_default=True,
+    help="swiftthread, once, backoff, aimd, floor, or exec:COMMAND.",
+)
 @click.option("--rev", help="A git revision to take the node from instead of this tree.")
 @click.option("--into", type=click.Path(path_type=Path), help="A folder for rows, logs and the report.")
 @click.option("--report/--no-report", default=True, help="Write report.html there.")
@@ -115,6 +130,7 @@
     """Play one incident, judge it, and write a report."""
     from swiftthread.lab import builds
     from swiftthread.lab.runner import KINDS, Run
+
     script = script_of(path)
     if node not in KINDS and not node.startswith("exec:"):
         raise Unusable(f"--node {node}: is none of {', '.join(KINDS)} and no exec:COMMAND")
@@ -129,6 +145,7 @@
     async def play():
         with builds.tree_of(rev) as tree:
             return await Run(script, script.seed if seed is None else seed, node, folder, tree).make(progress)
+
     result = carried_out(play)
     progress("")
     progress("\r")
@@ -136,6 +153,7 @@
         click.echo(line)
     if report:
         from swiftthread.lab.report import write
+
         click.echo(f"  report: {write(folder)}")
     sys.exit(1 if result["breaches"] else 0)
 
@@ -143,7 +161,9 @@
 @main.command()
 @click.argument("paths", nargs=-1, required=True)
 @click.option("--seeds", default=3, show_default=True, help="Runs of each, with seeds 1 to this.")
-@click.option("--node", "nodes", multiple=True, default=("swiftthread",), show_default=True, help="May be repeated.")
+@click.option(
+    "--node", "nodes", multiple=True, default=("swiftthread",), show_default=True, help="May be repeated."
+)
 @click.option("--rev", "revs", multiple=True, help="Git revisions beside this tree; may be repeated.")
 @click.option("--load", "loads", multiple=True, type=float, help="x the script's rate; may be repeated.")
 @click.option("--into", type=click.Path(path_type=Path), default=Path("lab-runs"), show_default=True)
@@ -152,6 +172,7 @@
     """Play incidents x loads x seeds x builds, and report them beside each other."""
     from swiftthread.lab import experiment
     from swiftthread.lab.report import write_matrix
+
     found = {path: script_of(path) for path in paths}
     cells = experiment.cells(found, loads or (1.0,), range(1, seeds + 1), nodes, ("tree", *revs))
     rows = carried_out(experiment.play, cells, into, jobs, lambda text: click.echo(text, err=True))
@@ -170,6 +191,7 @@
 def compare(rev, paths, seeds, into, jobs):
     """What changed from a git revision to this tree, and whether it is more than chance."""
     from swiftthread.lab import experiment
+
     found = {path: script_of(path) for path in paths or scripts.shipped_names()}
     cells = experiment.cells(found, (1.0,), range(1, seeds + 1), ("swiftthread",), (rev, "tree"))
     rows = carried_out(experiment.play, cells, into, jobs, lambda text: click.echo(text, err=True))
@@ -184,6 +206,7 @@
 def limits(counts, seconds, into):
     """One node's limits at closed-loop clients, beside the floor program."""
     from swiftthread.lab import capacity
+
     into = into or Path(tempfile.mkdtemp(prefix="lab-limits-"))
     rows = carried_out(capacity.measure, counts, seconds, into, lambda text: click.echo(text, err=True))
     for line in capacity.table(rows):
@@ -195,6 +218,7 @@
 def report(folder):
     """Write the report of a run's folder anew."""
     from swiftthread.lab.report import write
+
     try:
         click.echo(write(folder))
     except OSError as fault:
@@ -207,6 +231,7 @@
     """Judge the rows of a run's folder anew."""
     import msgspec
     from swiftthread.lab import records, referee
+
     script = msgspec.json.decode((folder / "script.json").read_bytes(), type=scripts.Script)
     case, breaches = referee.judge(script, records.read(*sorted(folder.glob("*.rows"))))
     click.echo(f"service {referee.Service(case).measure():.4f}, {len(breaches)} broken rules")
@@ -217,8 +242,10 @@
 
 # Parts of a run, as processes of their own.
 
+
 def _script_file(path):
     import msgspec
+
     if path.endswith(".json"):
         return msgspec.json.decode(Path(path).read_bytes(), type=scripts.Script)
     return script_of(path)
@@ -238,6 +265,7 @@
 def emulate(path, seed, rows):
     """Only the receivers, discovery and the platform: prints where they listen, then reads `go MOMENT` and `stop`."""
     from swiftthread.lab import emulator
+
     script = _script_file(path)
     _still()
     asyncio.run(emulator.serve(script, seed, rows))
@@ -251,6 +279,7 @@
 def clients(path, seed, part, rows):
     """One process of clients of a run."""
     from swiftthread.lab import load
+
     script = _script_file(path)
     _still()
     asyncio.run(load.serve(script, seed, part, script.load.processes, rows))
@@ -262,7 +291,9 @@
     """A baseline in a node's place."""
     if kind == "floor":
         from swiftthread.lab import floor
+
         floor.main()
     else:
         from swiftthread.lab import relay as relays
+
         relays.main(relays.KINDS[kind])
--- a/swiftthread/lab/emulator.py
+++ b/swiftthread/lab/emulator.py
@@ -3,6 +3,7 @@
 The parts that speak are callback protocols on asyncio: with hundreds of listeners one task a connection is what would
 make the emulator, not the node under test, the bottleneck. It measures its own lag and says so.
 """
+
 import asyncio
 import base64
 import errno
@@ -21,10 +22,18 @@
 from swiftthread.lab.records import clock
 
 STATUS = {model.DONE: 200, model.ERROR: 500, model.FULL: 429, model.SHUT: 503}
-REASON = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found", 429: "Too Many Requests",
-          500: "Internal Server Error", 503: "Service Unavailable"}
-LAG_EVERY_MS = 10.0     # ms between two looks at the loop's own lag
-WATCH_LINE_S = 2.0      # s between empty lines on a watch, the protocol's
+REASON = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+LAG_EVERY_MS = 10.0  # ms between two looks at the loop's own lag
+WATCH_LINE_S = 2.0  # s between empty lines on a watch, the protocol's
 SIP, SIP_MS = 64, 20.0  # bytes and ms of a slow reader or writer
 AT_SOCKETS = ("reset_before", "slow_read", "slow_write")
 
@@ -65,7 +74,7 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserCallbackError:
-            raise               # ours: it must be seen, the run is worth nothing
+            raise  # ours: it must be seen, the run is worth nothing
         except httptools.HttpParserError:
             self.transport.close()
 
@@ -138,7 +147,9 @@
             return
         if self.target == "/receive-many":
             try:
-                idents = [row["id"] for row in json.loads(self.body) if base64.b64decode(row["body"]) is not None]
+                idents = [
+                    row["id"] for row in json.loads(self.body) if base64.b64decode(row["body"]) is not None
+                ]
             except (ValueError, KeyError, TypeError):
                 self.transport.write(answer_bytes(400))
                 return
@@ -158,7 +169,12 @@
     """The listening socket of one endpoint and its connections; owner of both."""
 
     def __init__(self, emulator, endpoint):
-        self.emulator, self.world, self.endpoint, self.rng = emulator, emulator.world, endpoint, emulator.world.rng
+        self.emulator, self.world, self.endpoint, self.rng = (
+            emulator,
+            emulator.world,
+            endpoint,
+            emulator.world.rng,
+        )
         self.talks, self.mood, self.fillers = {}, {}, []
         self.sock, self.loop, self.listening = bound(), asyncio.get_running_loop(), False
         self.address = "%s:%d" % self.sock.getsockname()
@@ -183,7 +199,7 @@
         self.vanish_ends()
         if self.listening:
             self.loop.remove_reader(self.sock)
-            self.sock.shutdown(socket.SHUT_RDWR)    # Linux: it stops to listen and keeps its port
+            self.sock.shutdown(socket.SHUT_RDWR)  # Linux: it stops to listen and keeps its port
             self.listening = False
         for talk in list(self.talks):
             talk.reset()
@@ -227,7 +243,9 @@
         if method == "POST" and self.target == "/status":
             for line in bytes(self.body).splitlines():
                 row = json.loads(line)
-                agent.emulator.noticed(agent.node, row["message"], row["outcome"], row.get("retry_in_ms", 0.0))
+                agent.emulator.noticed(
+                    agent.node, row["message"], row["outcome"], row.get("retry_in_ms", 0.0)
+                )
             self.transport.write(answer_bytes(204))
         elif agent.silent:
             return
@@ -283,7 +301,7 @@
         self.silent = False
         for name, row in self.entries.items():
             self.emulator.book.write(records.Told(clock(), self.node, name, row["state"]))
-        self.cut()      # what it missed comes with a new watch
+        self.cut()  # what it missed comes with a new watch
 
     def cut(self):
         for watch in list(self.watches):
@@ -340,19 +358,41 @@
             dest = self.world.dests.get(number)
             if dest is None:
                 limit = model.Limit(table.rate_per_s, table.span_ms, table.burst, table.refusals_use)
-                dest = model.Destination(number, limit, rules.cold_from, rules.warm_up_ms, rules.fall_multiple,
-                                         rules.fall_ms, table.tells_wait)
+                dest = model.Destination(
+                    number,
+                    limit,
+                    rules.cold_from,
+                    rules.warm_up_ms,
+                    rules.fall_multiple,
+                    rules.fall_ms,
+                    table.tells_wait,
+                )
             service = model.service_of(table.service, table.service_ms, table.cv, self.rng)
-            endpoint = self.world.add(model.Endpoint(name, dest, hall, table.workers, table.queue, table.connections,
-                                                     service, table.service_ms))
+            endpoint = self.world.add(
+                model.Endpoint(
+                    name, dest, hall, table.workers, table.queue, table.connections, service, table.service_ms
+                )
+            )
             self.doors[name] = Door(self, endpoint)
             endpoint.gone = spare
             if not spare:
                 self.doors[name].open()
-        rates = {number: table.rate_per_s if table.listed else 0.0 for _, number, table, _, _ in script.endpoints()}
-        self.entry = {name: {"id": name, "addr": self.doors[name].address, "zone": hall, "kind": "plain",
-                             "cell": number, "state": "SERVING", "weight": rates[number], "started_ms": 0}
-                      for name, number, table, hall, _ in script.endpoints()}
+        rates = {
+            number: table.rate_per_s if table.listed else 0.0 for _, number, table, _, _ in script.endpoints()
+        }
+        self.entry = {
+            name: {
+                "id": name,
+                "addr": self.doors[name].address,
+                "zone": hall,
+                "kind": "plain",
+                "cell": number,
+                "state": "SERVING",
+                "weight": rates[number],
+                "started_ms": 0,
+            }
+            for name, number, table, hall, _ in script.endpoints()
+        }
         spares = {row[0] for row in script.endpoints() if row[4]}
         for node in range(script.fleet.nodes):
             agent = Agent(self, f"n{node}", rules.list_delay_ms * self.rng.uniform(0.5, 1.5))
@@ -360,8 +400,11 @@
             await agent.open()
             self.agents.append(agent)
         self.feed = await asyncio.get_running_loop().create_server(lambda: Feed(self), "127.0.0.1", 0)
-        return {"discovery": [agent.address for agent in self.agents], "known": self.agents[0].page(True),
-                "feed": "%s:%d" % self.feed.sockets[0].getsockname()}
+        return {
+            "discovery": [agent.address for agent in self.agents],
+            "known": self.agents[0].page(True),
+            "feed": "%s:%d" % self.feed.sockets[0].getsockname(),
+        }
 
     async def play(self, t0):
         """The script's timeline from this moment on, with a look at the loop's own lag, until cancelled."""
@@ -390,7 +433,9 @@
 
     def called(self, talk, idents, began, now):
         endpoint, number = talk.door.endpoint, next(self.calls)
-        self.book.write(records.Arrived(now, number, idents, endpoint.name, endpoint.dest.number, endpoint.hall, began))
+        self.book.write(
+            records.Arrived(now, number, idents, endpoint.name, endpoint.dest.number, endpoint.hall, began)
+        )
         fell = endpoint.dest.fallen
         call, answer = self.world.arrive(now, endpoint, number, len(idents))
         talk.call, self.talks[call] = call, (talk, idents)
@@ -481,7 +526,7 @@
             return
         names = self.script.aimed(step.on)
         if not names:
-            return      # the load's, or the nodes'
+            return  # the load's, or the nodes'
         self.do(now, step.what, names, step)
         if step.for_ms and step.what not in ("shut", "pause"):
             loop.call_later(step.for_ms / 1000.0, lambda: self.do(clock(), "heal", names, step))
@@ -529,7 +574,9 @@
     book = records.Book(path)
     emulator = Emulator(script, seed, book)
     reader = asyncio.StreamReader()
-    await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
     player = None
     try:
         print(json.dumps(await emulator.open()), flush=True)
--- a/swiftthread/lab/experiment.py
+++ b/swiftthread/lab/experiment.py
@@ -4,6 +4,7 @@
 over the pairs (scipy.stats.bootstrap, 95 %, 9,999 resamples of a fixed seed); "more than chance" means that it leaves
 zero out and that there are at least MIN_PAIRS pairs.
 """
+
 import json
 import os
 import statistics
@@ -18,12 +19,13 @@
 from swiftthread.lab import builds
 from swiftthread.lab.runner import Run, Trouble
 
-MIN_PAIRS = 5       # pairs below which no interval is given: a bootstrap of fewer says little
-TRIES = 2           # of a run that the laboratory's own lag voided
+MIN_PAIRS = 5  # pairs below which no interval is given: a bootstrap of fewer says little
+TRIES = 2  # of a run that the laboratory's own lag voided
 
 
 class Cell(NamedTuple):
     """One run of the matrix."""
+
     name: str
     script: object
     load: float
@@ -37,11 +39,19 @@
 
 def cells(found, loads, seeds, nodes, revs):
     """All runs, those of one pair beside each other."""
+
     def at(script, load):
         fresh = msgspec.structs.replace(script.load, rate_per_s=script.load.rate_per_s * load)
         return msgspec.structs.replace(script, load=fresh)
-    return [Cell(name, at(script, load), load, seed, node, rev) for name, script in found.items() for load in loads
-            for seed in seeds for node in nodes for rev in (revs if node == "swiftthread" else ("tree",))]
+
+    return [
+        Cell(name, at(script, load), load, seed, node, rev)
+        for name, script in found.items()
+        for load in loads
+        for seed in seeds
+        for node in nodes
+        for rev in (revs if node == "swiftthread" else ("tree",))
+    ]
 
 
 class Cores:
@@ -68,7 +78,10 @@
     into.mkdir(parents=True, exist_ok=True)
     cores, jobs, rows = Cores(), anyio.Semaphore(jobs or 64), []
     with ExitStack() as stack, open(into / "runs.jsonl", "a", encoding="utf-8") as kept:
-        trees = {rev: stack.enter_context(builds.tree_of(rev)) for rev in dict.fromkeys(cell.rev for cell in wanted)}
+        trees = {
+            rev: stack.enter_context(builds.tree_of(rev))
+            for rev in dict.fromkeys(cell.rev for cell in wanted)
+        }
 
         async def one(cell):
             async with jobs:
@@ -80,8 +93,11 @@
             rows.append(row)
             kept.write(json.dumps(row) + "\n")
             kept.flush()
-            say(f"{len(rows):4} of {len(wanted)}  {cell.label():50} {row['measure']:.3f}"
-                + (f"  {len(row['breaches'])} BROKEN" if row["breaches"] else "") + (" VOID" if row["void"] else ""))
+            say(
+                f"{len(rows):4} of {len(wanted)}  {cell.label():50} {row['measure']:.3f}"
+                + (f"  {len(row['breaches'])} BROKEN" if row["breaches"] else "")
+                + (" VOID" if row["void"] else "")
+            )
 
         async with anyio.create_task_group() as tasks:
             for cell in wanted:
@@ -120,9 +136,11 @@
     yield f"{'incident':22} {'load':>5} {'node':12} {'build':10} {'runs':>4} {'service':>8} {'spread':>7} {'broken':>6}"
     for (name, load, node, rev), group in by_cell(rows).items():
         values = [row["measure"] for row in group]
-        yield (f"{name:22} {load:5g} {node.partition(':')[0]:12} {rev[:10]:10} {len(values):4} "
-               f"{statistics.mean(values):8.3f} {max(values) - min(values):7.3f} "
-               f"{sum(len(row['breaches']) for row in group):6}")
+        yield (
+            f"{name:22} {load:5g} {node.partition(':')[0]:12} {rev[:10]:10} {len(values):4} "
+            f"{statistics.mean(values):8.3f} {max(values) - min(values):7.3f} "
+            f"{sum(len(row['breaches']) for row in group):6}"
+        )
     voids = len(rows) - len(usable(rows))
     if voids:
         yield f"{voids} runs are void (a loop of the laboratory lagged) and left out"
@@ -136,8 +154,14 @@
         return differences[0], differences[0]
     import numpy
     from scipy import stats
-    found = stats.bootstrap((numpy.array(differences),), numpy.mean, confidence_level=0.95, method="BCa",
-                            rng=numpy.random.default_rng(1))
+
+    found = stats.bootstrap(
+        (numpy.array(differences),),
+        numpy.mean,
+        confidence_level=0.95,
+        method="BCa",
+        rng=numpy.random.default_rng(1),
+    )
     return float(found.confidence_interval.low), float(found.confidence_interval.high)
 
 
@@ -172,5 +196,7 @@
     every = [value for differences in pairs.values() for value in differences]
     if every:
         yield f"{'all':22} {verdict(every)}"
-    broken = {rev: sum(len(row["breaches"]) for row in usable(rows) if row["rev"] == rev) for rev in (before, after)}
+    broken = {
+        rev: sum(len(row["breaches"]) for row in usable(rows) if row["rev"] == rev) for rev in (before, after)
+    }
     yield f"broken rules: {broken[before]} before, {broken[after]} after"
--- a/swiftthread/lab/floor.py
+++ b/swiftthread/lab/floor.py
@@ -1,4 +1,5 @@
 """The floor program: accept by h11, append to a file, answer 202, send by h11. What no node on h11 can do without."""
+
 import asyncio
 import json
 import os
@@ -8,7 +9,7 @@
 
 import h11
 
-LINES = 32          # connections to each endpoint, as many calls out
+LINES = 32  # connections to each endpoint, as many calls out
 
 
 class Peer(asyncio.Protocol):
@@ -32,7 +33,7 @@
                 self.body += part.data
             elif isinstance(part, h11.EndOfMessage):
                 head, body = self.head, bytes(self.body)
-                self._next()            # an answer's connection is free before it is asked for
+                self._next()  # an answer's connection is free before it is asked for
                 self.got(head, body)
                 self._next()
 
@@ -73,15 +74,22 @@
 class Floor:
     def __init__(self, conf):
         self.conf, self.waiting, self.free = conf, deque(), []
-        self.log = os.open(os.path.join(conf["state"], "floor"), os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+        self.log = os.open(
+            os.path.join(conf["state"], "floor"), os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600
+        )
 
     def pump(self):
         while self.waiting and self.free:
             ident, body = self.waiting.popleft()
             self.free.pop().say(
-                h11.Request(method="POST", target="/receive", headers=[
-                    ("Host", "endpoint"), ("X-Txn", ident), ("Content-Length", str(len(body)))]),
-                h11.Data(data=body), h11.EndOfMessage())
+                h11.Request(
+                    method="POST",
+                    target="/receive",
+                    headers=[("Host", "endpoint"), ("X-Txn", ident), ("Content-Length", str(len(body)))],
+                ),
+                h11.Data(data=body),
+                h11.EndOfMessage(),
+            )
 
     async def serve(self):
         loop, ended = asyncio.get_running_loop(), asyncio.Event()
--- a/swiftthread/lab/load.py
+++ b/swiftthread/lab/load.py
@@ -3,6 +3,7 @@
 An open loop's arrivals do not wait for answers, and its latency counts from the scheduled moment: a node that stands
 still is not spared the events that would have come meanwhile. Several processes each take their part of one schedule.
 """
+
 import asyncio
 import json
 import random
@@ -18,20 +19,28 @@
 from swiftthread.lab import records
 from swiftthread.lab.records import clock
 
-LONGEST_US = 120_000_000    # of the histogram; nothing waits longer than a run
-DIGITS = 3                  # significant decimal digits it keeps
-LAG_EVERY_MS = 10.0         # ms between two looks at the loop's own lag
-BACK_MS = 300.0             # ms a client waits that heeds advice and was given none
-MOST_BACK_MS = 3000.0       # ms of advice that clients heed
-TRIES = 6                   # hand-ins of one event, the first counted in
+LONGEST_US = 120_000_000  # of the histogram; nothing waits longer than a run
+DIGITS = 3  # significant decimal digits it keeps
+LAG_EVERY_MS = 10.0  # ms between two looks at the loop's own lag
+BACK_MS = 300.0  # ms a client waits that heeds advice and was given none
+MOST_BACK_MS = 3000.0  # ms of advice that clients heed
+TRIES = 6  # hand-ins of one event, the first counted in
 
 
 class Event:
     """One event as its client has it, over all its hand-ins."""
+
     __slots__ = ("origin", "stream", "dest", "key", "subject", "due", "ends_at", "tries")
 
     def __init__(self, origin, stream, dest, key, subject, due):
-        self.origin, self.stream, self.dest, self.key, self.subject, self.due = origin, stream, dest, key, subject, due
+        self.origin, self.stream, self.dest, self.key, self.subject, self.due = (
+            origin,
+            stream,
+            dest,
+            key,
+            subject,
+            due,
+        )
         self.ends_at, self.tries = due + stream.max_age_ms, 0
 
 
@@ -46,6 +55,7 @@
         stream = streams[bisect(by_stream, rng.random() * by_stream[-1])]
         dest = dests[bisect(by_dest, rng.random() * by_dest[-1])][0]
         return stream, dest, f"{dest}-{rng.randrange(load.subjects)}" if stream.in_order else ""
+
     return draw
 
 
@@ -123,9 +133,13 @@
         self.rng, self.numbers = random.Random(f"clients {seed} {part}"), count()
         self.idle = [deque() for _ in nodes]
         self.body = bytes(self.rng.choices(b"abcdefghijklmnopqrstuvwxyz ", k=self.load.body_bytes))
-        self.taken, self.jobs, self.lag = {}, set(), 0.0     # taken: ident -> event; emptied as their max age passes
+        self.taken, self.jobs, self.lag = (
+            {},
+            set(),
+            0.0,
+        )  # taken: ident -> event; emptied as their max age passes
         self.histogram = HdrHistogram(1, LONGEST_US, DIGITS)
-        self.last = 0.0         # moment after which nothing is handed in
+        self.last = 0.0  # moment after which nothing is handed in
 
     def spawn(self, job):
         task = asyncio.ensure_future(job)
@@ -143,7 +157,7 @@
             await asyncio.gather(*[self._closed(t0, number) for number in mine])
 
     async def _open(self, t0):
-        for at, event in schedule(self.script, self.seed)[self.part::self.parts]:
+        for at, event in schedule(self.script, self.seed)[self.part :: self.parts]:
             due = t0 + at
             if (rest := due - clock()) > 1.0:
                 await asyncio.sleep(rest / 1000.0)
@@ -164,12 +178,26 @@
         ident = event.origin if not event.tries else f"{event.origin}.{event.tries}"
         event.tries += 1
         node, begun = self.rng.randrange(len(self.nodes)), clock()
-        self.book.write(records.HandedIn(begun, ident, event.origin, f"n{node}", event.stream.name, event.dest,
-                                         event.key, event.subject, event.ends_at, event.due))
+        self.book.write(
+            records.HandedIn(
+                begun,
+                ident,
+                event.origin,
+                f"n{node}",
+                event.stream.name,
+                event.dest,
+                event.key,
+                event.subject,
+                event.ends_at,
+                event.due,
+            )
+        )
         status, back_ms, broke = await self._ask(node, ident, event)
         now = clock()
         self.book.write(records.Heard(now, ident, status, back_ms, broke))
-        self.histogram.record_value(int(1000.0 * max(0.0, now - (event.due if event.tries == 1 else begun))) or 1)
+        self.histogram.record_value(
+            int(1000.0 * max(0.0, now - (event.due if event.tries == 1 else begun))) or 1
+        )
         if status == 202:
             self.taken[ident] = event
         else:
@@ -215,16 +243,20 @@
 
     async def _connect(self, node):
         host, port = self.nodes[node]
-        _, line = await asyncio.get_running_loop().create_connection(lambda: Line(self.idle[node]), host, port)
+        _, line = await asyncio.get_running_loop().create_connection(
+            lambda: Line(self.idle[node]), host, port
+        )
         return line
 
     def _request(self, ident, event):
         left = max(1, int(event.ends_at - clock()))
         key = f"Idempotency-Key: {event.key}\r\n" if event.key else ""
         path = f"/{event.stream.name}/{event.subject}" if event.subject else f"/{event.stream.name}"
-        return (f"POST {path} HTTP/1.1\r\nHost: node\r\nX-Txn: {ident}\r\nX-Lane: {event.stream.name}\r\n"
-                f"X-Remaining: {left}m\r\nX-Route-To: dest={event.dest}\r\n{key}"
-                f"Content-Length: {len(self.body)}\r\n\r\n").encode() + self.body
+        return (
+            f"POST {path} HTTP/1.1\r\nHost: node\r\nX-Txn: {ident}\r\nX-Lane: {event.stream.name}\r\n"
+            f"X-Remaining: {left}m\r\nX-Route-To: dest={event.dest}\r\n{key}"
+            f"Content-Length: {len(self.body)}\r\n\r\n"
+        ).encode() + self.body
 
     async def _hear(self, feed):
         """What the platform says was handed back comes again."""
@@ -263,7 +295,9 @@
     """Clients as a process: it prints `ready`, takes `go MOMENT FEED NODES` and `stop` as lines of its input."""
     book = records.Book(path)
     reader = asyncio.StreamReader()
-    await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
     client = None
     try:
         print("ready", flush=True)
--- a/swiftthread/lab/model.py
+++ b/swiftthread/lab/model.py
@@ -4,6 +4,7 @@
 things happen, and `advance` no later than `next_moment`. The same calls at the same moments give the same answers:
 all chance comes from the one random source handed in. Moments and lengths of time are ms.
 """
+
 import heapq
 import math
 from collections import deque
@@ -13,12 +14,16 @@
 # What a call gets. NOTHING: silence until its caller leaves.
 DONE, ERROR, FULL, SHUT, RESET, HALF, NOTHING = "done", "error", "full", "shut", "reset", "half", "nothing"
 
-SLACK_CALLS, SLACK_SIGMA = 3.0, 3.0     # calls, and x their square root: chance that a fall budget leaves room for
+SLACK_CALLS, SLACK_SIGMA = (
+    3.0,
+    3.0,
+)  # calls, and x their square root: chance that a fall budget leaves room for
 
 
 class Answer(NamedTuple):
     """What the driver writes to a call, and the wait that it tells (ms; 0: none). `reached`: it got as far as the
     receiver's work, so that it may have run."""
+
     call: object
     said: str
     wait_ms: float = 0.0
@@ -27,6 +32,7 @@
 
 class Call:
     """One call under way. `tag` is the driver's; `size`: events in it."""
+
     __slots__ = ("tag", "endpoint", "size", "arrived", "ends_at", "gone")
 
     def __init__(self, tag, endpoint, size, arrived):
@@ -81,12 +87,25 @@
 class Destination:
     """What its endpoints share: the limit, and how warm it is after an outage."""
 
-    def __init__(self, number, limit, cold_from=1.0, warm_up_ms=1.0, fall_multiple=math.inf, fall_ms=2000.0,
-                 tells_wait=True):
+    def __init__(
+        self,
+        number,
+        limit,
+        cold_from=1.0,
+        warm_up_ms=1.0,
+        fall_multiple=math.inf,
+        fall_ms=2000.0,
+        tells_wait=True,
+    ):
         self.number, self.limit, self.tells_wait, self.endpoints = number, limit, tells_wait, []
-        self.cold_from, self.warm_up, self.multiple, self.fall_ms = cold_from, warm_up_ms, fall_multiple, fall_ms
+        self.cold_from, self.warm_up, self.multiple, self.fall_ms = (
+            cold_from,
+            warm_up_ms,
+            fall_multiple,
+            fall_ms,
+        )
         self.back_at, self.fallen, self.shut_until, self.shut_wait = -math.inf, False, -math.inf, 0.0
-        self.loads = deque()        # (moment, load) since it came back; emptied once it is warm
+        self.loads = deque()  # (moment, load) since it came back; emptied once it is warm
 
     def warmth(self, now):
         """The share of its capacity that it has."""
@@ -110,7 +129,9 @@
         while self.loads[0][0] < now - self.fall_ms:
             self.loads.popleft()
         budget = self.multiple * self.capacity() * self.warmth(now) * self.fall_ms
-        self.fallen = sum(load for _, load in self.loads) > budget + SLACK_CALLS + SLACK_SIGMA * math.sqrt(budget)
+        self.fallen = sum(load for _, load in self.loads) > budget + SLACK_CALLS + SLACK_SIGMA * math.sqrt(
+            budget
+        )
         return self.fallen
 
 
@@ -134,7 +155,7 @@
 
     def __init__(self, rng, log=lambda *row: None):
         self.rng, self.log, self.endpoints, self.dests = rng, log, {}, {}
-        self.ends, self.turn = [], count()      # heap of (moment, number, call); emptied as calls end
+        self.ends, self.turn = [], count()  # heap of (moment, number, call); emptied as calls end
 
     def add(self, endpoint):
         self.dests[endpoint.dest.number], self.endpoints[endpoint.name] = endpoint.dest, endpoint
@@ -206,7 +227,7 @@
         while self.ends and self.ends[0][0] <= now:
             at, _, call = heapq.heappop(self.ends)
             if call.ends_at != at:
-                if call.ends_at < math.inf:     # a pause moved it
+                if call.ends_at < math.inf:  # a pause moved it
                     heapq.heappush(self.ends, (call.ends_at, next(self.turn), call))
                 continue
             endpoint = call.endpoint
--- a/swiftthread/lab/records.py
+++ b/swiftthread/lab/records.py
@@ -2,6 +2,7 @@
 
 One JSON line a row. Moments are ms of the machine's monotonic clock, one for all processes of a run.
 """
+
 import time
 
 import msgspec
@@ -18,6 +19,7 @@
 
 class HandedIn(Row, tag="in"):
     """A client began to hand in an event. `origin`: the first id of the same event; `due`: its scheduled moment."""
+
     ident: str
     origin: str
     node: str
@@ -31,6 +33,7 @@
 
 class Heard(Row, tag="heard"):
     """The client's answer; status 0: none in time, or a connection that broke (`written`: after its last byte)."""
+
     ident: str
     status: int
     back_ms: float = 0.0
@@ -39,6 +42,7 @@
 
 class Arrived(Row, tag="call"):
     """A call's last byte came. `began`: its first."""
+
     call: int
     idents: list[str]
     endpoint: str
@@ -49,6 +53,7 @@
 
 class Replied(Row, tag="reply"):
     """What was written to a call. `states`: by event, for a call of several that was done."""
+
     call: int
     said: str
     wait_ms: float = 0.0
@@ -56,6 +61,7 @@
 
 class Left(Row, tag="left"):
     """The caller closed before an answer was written."""
+
     call: int
 
 
@@ -66,6 +72,7 @@
 
 class Told(Row, tag="told"):
     """The list of a node now says so of an endpoint."""
+
     node: str
     endpoint: str
     state: str
@@ -80,6 +87,7 @@
 
 class Turned(Row, tag="dest"):
     """A destination went out, came back or fell. `capacity`: calls per ms when warm."""
+
     dest: int
     what: str
     capacity: float = 0.0
@@ -87,12 +95,14 @@
 
 class Life(Row, tag="node"):
     """A node was killed, told to stop, ready or at its end."""
+
     node: str
     what: str
 
 
 class Sampled(Row, tag="sample"):
     """Of a node's process: CPU spent so far (ms) and resident memory (MiB)."""
+
     node: str
     cpu_ms: float
     rss_mib: float
@@ -101,17 +111,33 @@
 
 class Lagged(Row, tag="lag"):
     """The longest that a loop of the laboratory itself came late since its last such row."""
+
     who: str
     ms: float
 
 
 class Spread(Row, tag="spread"):
     """An HDR histogram, encoded: hand-in latency in microseconds, from the scheduled moment."""
+
     who: str
     encoded: str
 
 
-ANY = HandedIn | Heard | Arrived | Replied | Left | Probed | Told | Noticed | Turned | Life | Sampled | Lagged | Spread
+ANY = (
+    HandedIn
+    | Heard
+    | Arrived
+    | Replied
+    | Left
+    | Probed
+    | Told
+    | Noticed
+    | Turned
+    | Life
+    | Sampled
+    | Lagged
+    | Spread
+)
 _encoder, _decoder = msgspec.json.Encoder(), msgspec.json.Decoder(ANY)
 
 
--- a/swiftthread/lab/referee.py
+++ b/swiftthread/lab/referee.py
@@ -4,19 +4,23 @@
 `Case`; each breach names its rule, its moment and what was seen. The rules are those of the README of the laboratory,
 docs/lab.md; a send that "may have run" is one not refused, not unreached.
 """
+
 import math
 from collections import defaultdict
 from typing import NamedTuple
 
 from swiftthread.lab import model, records
 
-SLACK_MS = 50.0         # ms: every time limit is longer by this, for what was on its way
-END_SLACK_MS = 300.0    # ms after the max age within which the end must be known
-READY_SLACK_MS = 1500.0     # ms after a restarted node is ready within which overdue ends must be known
-TOLD_SLACK_MS = 100.0   # ms after a told wait was written in which calls were under way already
-RACE_MS = 50.0          # ms for which an answer and its caller's close may cross
-RIDER = 0.05            # load of one more event in a call
-SLACK_CALLS, SLACK_SIGMA = 3.0, 3.0     # chance that a fall budget leaves room for, as calls and x their square root
+SLACK_MS = 50.0  # ms: every time limit is longer by this, for what was on its way
+END_SLACK_MS = 300.0  # ms after the max age within which the end must be known
+READY_SLACK_MS = 1500.0  # ms after a restarted node is ready within which overdue ends must be known
+TOLD_SLACK_MS = 100.0  # ms after a told wait was written in which calls were under way already
+RACE_MS = 50.0  # ms for which an answer and its caller's close may cross
+RIDER = 0.05  # load of one more event in a call
+SLACK_CALLS, SLACK_SIGMA = (
+    3.0,
+    3.0,
+)  # chance that a fall budget leaves room for, as calls and x their square root
 
 
 class Breach(NamedTuple):
@@ -27,10 +31,17 @@
 
 class Send:
     """One call as far as one event is concerned."""
+
     __slots__ = ("at", "began", "endpoint", "dest", "hall", "said", "said_at", "wait", "left_at")
 
     def __init__(self, row):
-        self.at, self.began, self.endpoint, self.dest, self.hall = row.at, row.began, row.endpoint, row.dest, row.hall
+        self.at, self.began, self.endpoint, self.dest, self.hall = (
+            row.at,
+            row.began,
+            row.endpoint,
+            row.dest,
+            row.hall,
+        )
         self.said, self.said_at, self.wait, self.left_at = None, math.inf, 0.0, math.inf
 
     def over_at(self):
@@ -48,7 +59,13 @@
     """One hand-in and all that became of it."""
 
     def __init__(self, row, stream):
-        self.ident, self.origin, self.node, self.dest, self.stream = row.ident, row.origin, row.node, row.dest, stream
+        self.ident, self.origin, self.node, self.dest, self.stream = (
+            row.ident,
+            row.origin,
+            row.node,
+            row.dest,
+            stream,
+        )
         self.subject, self.ends_at, self.handed_at, self.due = row.subject, row.ends_at, row.at, row.due
         self.status, self.heard_at, self.broke, self.sends, self.notices = None, math.inf, False, [], []
 
@@ -120,19 +137,30 @@
     """1: each event taken has exactly one final answer in time, nothing is sent after it or after its max age."""
     for event in case.taken.values():
         if event.broke and event.status == 0:
-            yield Breach("one end", event.heard_at, f"{event.ident}: a request fully written got no answer") \
-                if not _away(case, event.node, event.heard_at) else None
+            yield (
+                Breach("one end", event.heard_at, f"{event.ident}: a request fully written got no answer")
+                if not _away(case, event.node, event.heard_at)
+                else None
+            )
         by = case.excused_until(event.node, event.ends_at)
         if event.status == 202 and event.end_at() > by and by < case.until:
             yield Breach("one end", by, f"{event.ident}: taken at {event.node}, no end")
         outcomes = {row.outcome for row in event.notices}
         if len(outcomes) > 1:
-            yield Breach("one end", event.notices[-1].at, f"{event.ident}: told both {' and '.join(sorted(outcomes))}")
-        if "handed_back" in outcomes and event.status == 202 and event.acked_at() < event.notices[0].at - RACE_MS \
-                and not _away(case, event.node, event.acked_at()):
+            yield Breach(
+                "one end", event.notices[-1].at, f"{event.ident}: told both {' and '.join(sorted(outcomes))}"
+            )
+        if (
+            "handed_back" in outcomes
+            and event.status == 202
+            and event.acked_at() < event.notices[0].at - RACE_MS
+            and not _away(case, event.node, event.acked_at())
+        ):
             yield Breach("one end", event.notices[0].at, f"{event.ident}: handed back after its ack")
         if event.status is not None and event.status >= 400 and event.sends:
-            yield Breach("one end", event.sends[0].at, f"{event.ident}: refused with {event.status}, yet sent")
+            yield Breach(
+                "one end", event.sends[0].at, f"{event.ident}: refused with {event.status}, yet sent"
+            )
         for send in event.sends:
             if send.began > event.ends_at + SLACK_MS:
                 yield Breach("one end", send.began, f"{event.ident}: sent after its max age")
@@ -167,8 +195,12 @@
             if maybe is None and not send.never_ran():
                 maybe = send
         back = [row for row in event.notices if row.outcome == "handed_back"]
-        if back and maybe is not None and event.stream.effect != "idempotent" \
-                and not (event.stream.effect == "deduplicated" and event.stream.group == "all"):
+        if (
+            back
+            and maybe is not None
+            and event.stream.effect != "idempotent"
+            and not (event.stream.effect == "deduplicated" and event.stream.group == "all")
+        ):
             yield Breach("no effect twice", back[0].at, f"{event.ident}: handed back though it may have run")
 
 
@@ -177,8 +209,12 @@
     if effect == "non-idempotent":
         yield Breach("no effect twice", send.at, f"{event.ident}: sent again though it may have run")
     elif effect == "deduplicated" and send.began > maybe.began + window + SLACK_MS:
-        yield Breach("no effect twice", send.at, f"{event.ident}: sent again {send.began - maybe.began:.0f} ms after "
-                     f"a send that may have run, window {window:.0f}")
+        yield Breach(
+            "no effect twice",
+            send.at,
+            f"{event.ident}: sent again {send.began - maybe.began:.0f} ms after "
+            f"a send that may have run, window {window:.0f}",
+        )
     elif effect == "deduplicated" and event.stream.group == "zone" and send.hall != maybe.hall:
         yield Breach("no effect twice", send.at, f"{event.ident}: sent again outside its group")
 
@@ -194,8 +230,11 @@
                     since = at if told != state and state == "SERVING" else since
                     state = told
             if state != "SERVING" and send.began > since + grace:
-                yield Breach("drain", send.began, f"{event.ident}: sent to {send.endpoint}, {state} for "
-                             f"{send.began - since:.0f} ms")
+                yield Breach(
+                    "drain",
+                    send.began,
+                    f"{event.ident}: sent to {send.endpoint}, {state} for {send.began - since:.0f} ms",
+                )
 
 
 def falls(case):
@@ -204,7 +243,9 @@
     for dest, turns in case.turned.items():
         for turn in [row for row in turns if row.what == "back"]:
             end = turn.at + rules.warm_up_ms
-            next_out = min([row.at for row in turns if row.at > turn.at and row.what == "out"], default=math.inf)
+            next_out = min(
+                [row.at for row in turns if row.at > turn.at and row.what == "out"], default=math.inf
+            )
             loads = [(at, load) for at, load in case.loads[dest] if turn.at <= at <= min(end, next_out)]
             first, seen = 0, 0.0
             for at, load in loads:
@@ -215,8 +256,12 @@
                 warmth = rules.cold_from + (1 - rules.cold_from) * (at - turn.at) / rules.warm_up_ms
                 budget = rules.fall_multiple * turn.capacity * warmth * rules.fall_ms
                 if seen > budget + SLACK_CALLS + SLACK_SIGMA * math.sqrt(budget):
-                    yield Breach("fall budget", at, f"destination {dest}: load {seen:.1f} in {rules.fall_ms:.0f} ms, "
-                                 f"budget {budget:.1f}, {at - turn.at:.0f} ms after its return")
+                    yield Breach(
+                        "fall budget",
+                        at,
+                        f"destination {dest}: load {seen:.1f} in {rules.fall_ms:.0f} ms, "
+                        f"budget {budget:.1f}, {at - turn.at:.0f} ms after its return",
+                    )
                     break
 
 
@@ -230,11 +275,16 @@
     for line in lines.values():
         line.sort(key=lambda event: event.heard_at)
         for place, event in enumerate(line):
-            for earlier in line[max(0, place - 8):place]:
-                if earlier.heard_at > event.handed_at or _away(case, event.node, event.handed_at) \
-                        or any(earlier.heard_at < at < event.ends_at and what in ("killed", "stopping")
-                               for at, what in case.lives[event.node]):
-                    continue        # which was taken first is not known, or the node has started in between
+            for earlier in line[max(0, place - 8) : place]:
+                if (
+                    earlier.heard_at > event.handed_at
+                    or _away(case, event.node, event.handed_at)
+                    or any(
+                        earlier.heard_at < at < event.ends_at and what in ("killed", "stopping")
+                        for at, what in case.lives[event.node]
+                    )
+                ):
+                    continue  # which was taken first is not known, or the node has started in between
                 free = max([earlier.end_at()] + [_rested(send, rest) for send in earlier.sends])
                 early = [send for send in event.sends if send.at < free - SLACK_MS]
                 if early:
@@ -260,11 +310,15 @@
         told = sorted({(send.said_at, send.said_at + send.wait) for send in sends if send.wait})
         starts = [at for at, what in case.lives[node] if what == "ready"]
         for since, until in told:
-            until = min([until] + [at for at in starts if at > since])      # a restart ends the wait
+            until = min([until] + [at for at in starts if at > since])  # a restart ends the wait
             for send in sends:
                 if since + TOLD_SLACK_MS < send.began < until - SLACK_MS:
-                    yield Breach("told wait", send.began, f"{node} sent to {dest} {until - send.began:.0f} ms before "
-                                 "the wait it was told was over")
+                    yield Breach(
+                        "told wait",
+                        send.began,
+                        f"{node} sent to {dest} {until - send.began:.0f} ms before "
+                        "the wait it was told was over",
+                    )
                     break
 
 
@@ -275,12 +329,21 @@
         for kill in kills:
             back = min([at for at, what in lives if what == "ready" and at > kill], default=math.inf)
             by = back + READY_SLACK_MS
-            owed = [event for event in case.taken.values() if event.node == node and event.status == 202
-                    and event.heard_at < kill < event.ends_at and event.end_at() > max(by, event.ends_at + END_SLACK_MS)
-                    and max(by, event.ends_at + END_SLACK_MS) < case.until]
+            owed = [
+                event
+                for event in case.taken.values()
+                if event.node == node
+                and event.status == 202
+                and event.heard_at < kill < event.ends_at
+                and event.end_at() > max(by, event.ends_at + END_SLACK_MS)
+                and max(by, event.ends_at + END_SLACK_MS) < case.until
+            ]
             if owed:
-                yield Breach("logged", kill, f"{node}: {len(owed)} events taken before its kill have no end, "
-                             f"{owed[0].ident} first")
+                yield Breach(
+                    "logged",
+                    kill,
+                    f"{node}: {len(owed)} events taken before its kill have no end, {owed[0].ident} first",
+                )
 
 
 def strangers(case):
@@ -299,7 +362,9 @@
 def judge(script, rows):
     """All breaches, in the order of their moments."""
     case = Case(script, rows)
-    return case, sorted((breach for rule in RULES for breach in rule(case) if breach), key=lambda breach: breach.at)
+    return case, sorted(
+        (breach for rule in RULES for breach in rule(case) if breach), key=lambda breach: breach.at
+    )
 
 
 def worth(event_stream, late_ms):
--- a/swiftthread/lab/relay.py
+++ b/swiftthread/lab/relay.py
@@ -3,6 +3,7 @@
 They are told and spoken to like a node, hold events in memory alone and keep of the rules what their strategy keeps.
 They are there to be compared with, never to be run.
 """
+
 import asyncio
 import json
 import os
@@ -14,11 +15,11 @@
 from swiftthread.lab.emulator import Talk, answer_bytes
 from swiftthread.lab.load import Line
 
-PATIENCE_MS = 1500.0            # of a call: a few usual latencies, and no more than the rest of the max age
-BACKOFF_MS, MOST_BACKOFF_MS = 100.0, 3000.0     # first and longest pause; full jitter between 0 and it
-LIST_S = 1.0                    # between two looks at discovery
-START_LIMIT, CUT = 10.0, 0.5    # AIMD: calls out at a destination at first; what a failure leaves of the limit
-ANSWERED = {429: False, 503: False, 400: False, 410: False, 413: False, 504: False}     # status -> may have run
+PATIENCE_MS = 1500.0  # of a call: a few usual latencies, and no more than the rest of the max age
+BACKOFF_MS, MOST_BACKOFF_MS = 100.0, 3000.0  # first and longest pause; full jitter between 0 and it
+LIST_S = 1.0  # between two looks at discovery
+START_LIMIT, CUT = 10.0, 0.5  # AIMD: calls out at a destination at first; what a failure leaves of the limit
+ANSWERED = {429: False, 503: False, 400: False, 410: False, 413: False, 504: False}  # status -> may have run
 
 
 def wall():
@@ -34,7 +35,7 @@
         self.subject = target.lstrip("/").partition("/")[2]
         self.dest = int(headers["x-route-to"].partition("dest=")[2])
         self.ends_at = wall() + float(headers["x-remaining"].rstrip("m"))
-        self.sends, self.maybe = 0, None     # maybe: (moment, zone) of the first send that may have run
+        self.sends, self.maybe = 0, None  # maybe: (moment, zone) of the first send that may have run
 
     def left(self):
         return self.ends_at - wall()
@@ -44,8 +45,11 @@
         if self.maybe is None or self.stream["Effect"] == "retryable":
             return True
         window = 1000.0 * self.stream.get("Window", 0.0)
-        return self.stream["Effect"] == "dedup" and self.stream["Group"] == "all" \
+        return (
+            self.stream["Effect"] == "dedup"
+            and self.stream["Group"] == "all"
             and wall() < self.maybe[0] + window - 50.0
+        )
 
 
 class Door(Talk):
@@ -144,7 +148,9 @@
                 key = f"Idempotency-Key: {event.key}\r\n" if event.key else ""
                 status, headers = await line.ask(
                     f"POST /receive HTTP/1.1\r\nHost: endpoint\r\nX-Txn: {event.ident}\r\n{key}"
-                    f"Content-Length: {len(event.body)}\r\n\r\n".encode() + event.body)
+                    f"Content-Length: {len(event.body)}\r\n\r\n".encode()
+                    + event.body
+                )
             return status, headers
         except TimeoutError:
             if line is None:
@@ -155,7 +161,9 @@
             return -1, None
 
     async def connect(self, place):
-        _, line = await asyncio.get_running_loop().create_connection(lambda: Line(self.idle[place]), *place[2:])
+        _, line = await asyncio.get_running_loop().create_connection(
+            lambda: Line(self.idle[place]), *place[2:]
+        )
         return line
 
     async def ask_platform(self, data):
@@ -173,8 +181,9 @@
         body = json.dumps(row).encode()
         for _ in range(5):
             try:
-                await self.ask_platform(b"POST /status HTTP/1.1\r\nHost: p\r\nContent-Length: %d\r\n\r\n%s"
-                                        % (len(body), body))
+                await self.ask_platform(
+                    b"POST /status HTTP/1.1\r\nHost: p\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+                )
                 return
             except (OSError, EOFError):
                 await asyncio.sleep(0.1)
@@ -183,7 +192,11 @@
         while True:
             try:
                 async with asyncio.timeout(LIST_S):
-                    self.learn(json.loads(await self.ask_platform(b"GET /catalog/members HTTP/1.1\r\nHost: p\r\n\r\n")))
+                    self.learn(
+                        json.loads(
+                            await self.ask_platform(b"GET /catalog/members HTTP/1.1\r\nHost: p\r\n\r\n")
+                        )
+                    )
             except (OSError, EOFError, TimeoutError, ValueError):
                 pass
             await asyncio.sleep(LIST_S)
@@ -240,8 +253,11 @@
             self.out[dest] += 1
             status, wait = await self.send(event)
             self.out[dest] -= 1
-            self.limit[dest] = self.limit[dest] + 1.0 / self.limit[dest] if status == 200 \
+            self.limit[dest] = (
+                self.limit[dest] + 1.0 / self.limit[dest]
+                if status == 200
                 else max(1.0, self.limit[dest] * CUT)
+            )
             self.rooms[dest].set()
             if status == 200:
                 return None
--- a/swiftthread/lab/report.py
+++ b/swiftthread/lab/report.py
@@ -1,4 +1,5 @@
 """A run's or a matrix's report: one HTML page that holds its plots, the broken rules first."""
+
 import base64
 import io
 import json
@@ -13,8 +14,15 @@
 
 from swiftthread.lab import experiment, records, referee, scripts
 
-SAID_COLOURS = {"done": "#2a8a4a", "error": "#c0392b", "full": "#e09f3e", "shut": "#b5651d", "reset": "#8e44ad",
-                "half": "#c39bd3", "unanswered": "#7f8c8d"}
+SAID_COLOURS = {
+    "done": "#2a8a4a",
+    "error": "#c0392b",
+    "full": "#e09f3e",
+    "shut": "#b5651d",
+    "reset": "#8e44ad",
+    "half": "#c39bd3",
+    "unanswered": "#7f8c8d",
+}
 PAGE = Environment(autoescape=True).from_string("""<!doctype html><meta charset="utf-8"><title>{{ title }}</title>
 <style>body{font:15px/1.5 sans-serif;max-width:1000px;margin:2em auto;padding:0 1em}img{max-width:100%}
 table{border-collapse:collapse}td,th{border:1px solid #ccc;padding:.2em .6em;text-align:right}
@@ -62,6 +70,7 @@
 def write(folder):
     """`report.html` and its PNGs in a run's folder; the page's path."""
     import numpy
+
     script = msgspec.json.decode((folder / "script.json").read_bytes(), type=scripts.Script)
     result = json.loads((folder / "result.json").read_text())
     rows, t0, plots = records.read(*sorted(folder.glob("*.rows"))), result["t0"], Plots(folder)
@@ -71,24 +80,48 @@
 
     def utility(axes):
         first = int(t0 // 1000.0)
-        points = sorted((second - first, 100.0 * got / most) for second, (most, got) in service.by_second.items() if most)
+        points = sorted(
+            (second - first, 100.0 * got / most) for second, (most, got) in service.by_second.items() if most
+        )
         axes.plot(*zip(*points), marker=".", label="by the second of the hand-in")
         axes.set(ylabel="utility, % of what was handed in", ylim=(0, 105), xlim=(0, end), xlabel="s")
         _steps(axes, script)
+
     if service.by_second:
         plots.add("Utility over time", "utility", utility)
 
     def latency(axes):
-        waits = by_second([(taken.handed_at, taken.heard_at - taken.handed_at) for taken in case.taken.values()
-                           if taken.status], t0)
+        waits = by_second(
+            [
+                (taken.handed_at, taken.heard_at - taken.handed_at)
+                for taken in case.taken.values()
+                if taken.status
+            ],
+            t0,
+        )
         for share, style in ((50, "-"), (90, "--"), (99, ":")):
-            axes.plot(list(waits), [numpy.percentile(values, share) for values in waits.values()], style,
-                      label=f"hand-in p{share}")
-        ends = by_second([(taken.due, taken.acked_at() - taken.due) for taken in case.taken.values()
-                          if taken.acked_at() < 1e300], t0)
-        axes.plot(list(ends), [numpy.percentile(values, 50) for values in ends.values()], color="black",
-                  label="hand-in to ack p50")
+            axes.plot(
+                list(waits),
+                [numpy.percentile(values, share) for values in waits.values()],
+                style,
+                label=f"hand-in p{share}",
+            )
+        ends = by_second(
+            [
+                (taken.due, taken.acked_at() - taken.due)
+                for taken in case.taken.values()
+                if taken.acked_at() < 1e300
+            ],
+            t0,
+        )
+        axes.plot(
+            list(ends),
+            [numpy.percentile(values, 50) for values in ends.values()],
+            color="black",
+            label="hand-in to ack p50",
+        )
         axes.set(yscale="log", ylabel="ms", xlabel="s", xlim=(0, end))
+
     if any(taken.status for taken in case.taken.values()):
         plots.add("Latency", "latency", latency)
 
@@ -101,6 +134,7 @@
                 axes.bar(list(sends), heights, bottom=base, color=colour, label=said, width=0.9)
                 base = base + heights
         axes.set(ylabel="calls a second", xlabel="s", xlim=(-0.5, end))
+
     if case.calls:
         plots.add("Calls by how they ended", "outcomes", outcomes)
 
@@ -110,12 +144,17 @@
         for dest in list(limits)[:4]:
             calls = by_second([(send.at, 1) for send in case.calls.values() if send.dest == dest], t0)
             seconds = range(int(end))
-            line, = axes.plot(seconds, [len(calls.get(second, ())) for second in seconds], marker=".",
-                              label=f"destination {dest}")
+            (line,) = axes.plot(
+                seconds,
+                [len(calls.get(second, ())) for second in seconds],
+                marker=".",
+                label=f"destination {dest}",
+            )
             if limits[dest]:
                 axes.axhline(limits[dest], color=line.get_color(), ls=":", lw=1)
         axes.set(ylabel="calls a second, and the limit", xlabel="s", xlim=(0, end))
         _steps(axes, script)
+
     if case.calls:
         plots.add("Pace against the limit (the first destinations)", "pace", pace)
 
@@ -127,25 +166,42 @@
                 nodes[row.node].append(row)
         for name, samples in sorted(nodes.items())[:8]:
             pairs = list(zip(samples, samples[4:]))
-            axes.plot([(b.at - t0) / 1000.0 for _, b in pairs],
-                      [100.0 * (b.cpu_ms - a.cpu_ms) / max(1.0, b.at - a.at) for a, b in pairs], label=f"{name} CPU")
+            axes.plot(
+                [(b.at - t0) / 1000.0 for _, b in pairs],
+                [100.0 * (b.cpu_ms - a.cpu_ms) / max(1.0, b.at - a.at) for a, b in pairs],
+                label=f"{name} CPU",
+            )
             other.plot([(row.at - t0) / 1000.0 for row in samples], [row.rss_mib for row in samples], ls=":")
         axes.set(ylabel="CPU, % of a core", xlabel="s", ylim=(0, None))
         other.set(ylabel="RSS, MiB (dotted)", ylim=(0, None))
+
     plots.add("The nodes' CPU and memory", "machine", machine)
 
-    counts = [["service measure", f"{result['measure']:.4f}"]] + [[name, value] for name, value in
-                                                                 result["counts"].items()]
+    counts = [["service measure", f"{result['measure']:.4f}"]] + [
+        [name, value] for name, value in result["counts"].items()
+    ]
     hand_in = [[name, f"{value:.1f} ms"] for name, value in result["hand_in_ms"].items()]
-    machine_rows = [["CPU per acked event", f"{result['cpu_ms_per_acked']} ms"], ["RSS", f"{result['rss_mib']} MiB"],
-                    ["descriptors", result["fds"]]] + [[f"lag of {who}", f"{ms} ms"]
-                                                       for who, ms in result["lag_ms"].items()]
+    machine_rows = [
+        ["CPU per acked event", f"{result['cpu_ms_per_acked']} ms"],
+        ["RSS", f"{result['rss_mib']} MiB"],
+        ["descriptors", result["fds"]],
+    ] + [[f"lag of {who}", f"{ms} ms"] for who, ms in result["lag_ms"].items()]
     page = folder / "report.html"
-    page.write_text(PAGE.render(
-        title=f"{result['script']} ({result['node']}, seed {result['seed']})", void=result["void"], sees=script.sees,
-        breaches=[f"{b['rule']} at {b['at_ms']:.0f} ms: {b['text']}" for b in result["breaches"]],
-        tables=[("Counts", counts), ("Hand-in latency from the scheduled moment", hand_in), ("Machine", machine_rows)],
-        plots=plots.kept), encoding="utf-8")
+    page.write_text(
+        PAGE.render(
+            title=f"{result['script']} ({result['node']}, seed {result['seed']})",
+            void=result["void"],
+            sees=script.sees,
+            breaches=[f"{b['rule']} at {b['at_ms']:.0f} ms: {b['text']}" for b in result["breaches"]],
+            tables=[
+                ("Counts", counts),
+                ("Hand-in latency from the scheduled moment", hand_in),
+                ("Machine", machine_rows),
+            ],
+            plots=plots.kept,
+        ),
+        encoding="utf-8",
+    )
     return page
 
 
@@ -165,30 +221,58 @@
         kinds = sorted({key[1:] for key in groups})
         width = 0.8 / max(1, len(kinds))
         for at, kind in enumerate(kinds):
-            points = [(place, [row["measure"] for row in groups.get((name, *kind), [])])
-                      for place, name in enumerate(names)]
+            points = [
+                (place, [row["measure"] for row in groups.get((name, *kind), [])])
+                for place, name in enumerate(names)
+            ]
             points = [(place, values) for place, values in points if values]
             means = [sum(values) / len(values) for _, values in points]
-            spread = [[mean - min(values) for mean, (_, values) in zip(means, points)],
-                      [max(values) - mean for mean, (_, values) in zip(means, points)]]
+            spread = [
+                [mean - min(values) for mean, (_, values) in zip(means, points)],
+                [max(values) - mean for mean, (_, values) in zip(means, points)],
+            ]
             load, node, rev = kind
             label = f"{node.partition(':')[0]} {rev[:10] if rev != 'tree' else ''} x{load:g}"
-            axes.bar([place + at * width for place, _ in points], means, width, yerr=spread, label=label, capsize=2)
+            axes.bar(
+                [place + at * width for place, _ in points], means, width, yerr=spread, label=label, capsize=2
+            )
         axes.set_xticks(range(len(names)), names, rotation=30, ha="right", fontsize=8)
         axes.set(ylabel="service measure", ylim=(0, 1.05))
+
     if groups:
         plots.add("Service by incident; whiskers: least and most of the seeds", "matrix", bars)
     table = [["incident", "load", "node", "build", "runs", "mean", "least", "most", "broken"]]
     for (name, load, node, rev), group in groups.items():
         values = [row["measure"] for row in group]
-        table.append([name, f"{load:g}", node, rev, len(values), f"{sum(values) / len(values):.3f}",
-                      f"{min(values):.3f}", f"{max(values):.3f}", sum(len(row["breaches"]) for row in group)])
+        table.append(
+            [
+                name,
+                f"{load:g}",
+                node,
+                rev,
+                len(values),
+                f"{sum(values) / len(values):.3f}",
+                f"{min(values):.3f}",
+                f"{max(values):.3f}",
+                sum(len(row["breaches"]) for row in group),
+            ]
+        )
     page = into / "matrix.html"
-    page.write_text(PAGE.render(
-        title="Runs beside each other", sees="",
-        void=f"{len(rows) - len(experiment.usable(rows))} of the runs are" if len(rows) > len(experiment.usable(rows))
-        else "",
-        breaches=[f"{row['folder']}: {b['rule']} at {b['at_ms']:.0f} ms: {b['text']}" for row in rows
-                  for b in row["breaches"][:5]],
-        tables=[("Service", table)], plots=plots.kept), encoding="utf-8")
+    page.write_text(
+        PAGE.render(
+            title="Runs beside each other",
+            sees="",
+            void=f"{len(rows) - len(experiment.usable(rows))} of the runs are"
+            if len(rows) > len(experiment.usable(rows))
+            else "",
+            breaches=[
+                f"{row['folder']}: {b['rule']} at {b['at_ms']:.0f} ms: {b['text']}"
+                for row in rows
+                for b in row["breaches"][:5]
+            ],
+            tables=[("Service", table)],
+            plots=plots.kept,
+        ),
+        encoding="utf-8",
+    )
     return page
--- a/swiftthread/lab/runner.py
+++ b/swiftthread/lab/runner.py
@@ -2,6 +2,7 @@
 
 Every process that is started here is ended here, also when the run is cancelled.
 """
+
 import json
 import os
 import shlex
@@ -21,12 +22,14 @@
 from swiftthread.lab.load import DIGITS, LONGEST_US
 from swiftthread.lab.records import clock
 
-READY_S = 15.0          # s for a process of a run to be ready
+READY_S = 15.0  # s for a process of a run to be ready
 START_AHEAD_MS = 300.0  # ms between "all are ready" and the first moment of the script
-STOP_S = 3.7            # s from SIGTERM to SIGKILL, the platform's
-BACK_MS = 600.0         # ms from a node's end to its next start, unless the step says otherwise
-SAMPLE_S = 0.25         # s between two looks at the nodes' CPU and memory
-MOST_LAG_MS = 60.0      # ms: where a loop of the laboratory came later than this the figures are its own, not a node's
+STOP_S = 3.7  # s from SIGTERM to SIGKILL, the platform's
+BACK_MS = 600.0  # ms from a node's end to its next start, unless the step says otherwise
+SAMPLE_S = 0.25  # s between two looks at the nodes' CPU and memory
+MOST_LAG_MS = (
+    60.0  # ms: where a loop of the laboratory came later than this the figures are its own, not a node's
+)
 TREE = Path(__file__).parents[2]
 KINDS = ("swiftthread", "once", "backoff", "aimd", "floor")
 
@@ -55,7 +58,7 @@
             try:
                 psutil.Process(self.popen.pid).cpu_affinity(list(cpus))
             except psutil.Error:
-                pass            # it has ended, or the machine will not pin; the run goes on
+                pass  # it has ended, or the machine will not pin; the run goes on
 
     def tell(self, line):
         try:
@@ -98,7 +101,7 @@
                 try:
                     pipe.close()
                 except OSError:
-                    pass        # what was not written yet is for nobody
+                    pass  # what was not written yet is for nobody
 
 
 class Node:
@@ -111,11 +114,21 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = ("127.0.0.1", free.getsockname()[1])
         fleet = run.script.fleet
-        conf = {"name": self.name, "listen": "%s:%d" % self.address, "discovery": page["discovery"][number],
-                "seed": f"{0x5eed0000 + 1000 * run.seed + number:016x}", "state": str(self.folder / "state"),
-                "known": page["known"], "settings": scripts.settings_of(run.script, number),
-                "limits": {"cores": 1.0, "memory_mb": fleet.memory_mb, "sockets": fleet.sockets,
-                           "disk_mb": fleet.disk_mb}}
+        conf = {
+            "name": self.name,
+            "listen": "%s:%d" % self.address,
+            "discovery": page["discovery"][number],
+            "seed": f"{0x5EED0000 + 1000 * run.seed + number:016x}",
+            "state": str(self.folder / "state"),
+            "known": page["known"],
+            "settings": scripts.settings_of(run.script, number),
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": fleet.memory_mb,
+                "sockets": fleet.sockets,
+                "disk_mb": fleet.disk_mb,
+            },
+        }
         self.conf = self.folder / "config.json"
         self.conf.write_text(json.dumps(conf))
         self.spent_ms = 0.0
@@ -123,14 +136,24 @@
     async def start(self):
         environ = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
         environ |= {"LB_CONFIG": str(self.conf), "PYTHONPATH": str(self.run.tree)}
-        self.process = Process(self.name, command_of(self.run.node), self.run.folder, self.run.cpus_of(self),
-                               cwd=self.run.tree, env=environ, stdout=subprocess.DEVNULL, stdin=subprocess.DEVNULL)
+        self.process = Process(
+            self.name,
+            command_of(self.run.node),
+            self.run.folder,
+            self.run.cpus_of(self),
+            cwd=self.run.tree,
+            env=environ,
+            stdout=subprocess.DEVNULL,
+            stdin=subprocess.DEVNULL,
+        )
         self.life = psutil.Process(self.process.popen.pid)
         with anyio.move_on_after(READY_S):
             while not self._healthy():
                 if self.process.popen.poll() is not None:
-                    raise Trouble(f"node {self.name} ended with {self.process.popen.returncode}: "
-                                  f"{self.process.last_words()}")
+                    raise Trouble(
+                        f"node {self.name} ended with {self.process.popen.returncode}: "
+                        f"{self.process.last_words()}"
+                    )
                 await anyio.sleep(0.02)
             self.run.note(records.Life(clock(), self.name, "ready"))
             return
@@ -148,11 +171,14 @@
         try:
             cpu, memory = self.life.cpu_times(), self.life.memory_info().rss
             spent = 1000.0 * (cpu.user + cpu.system)
-            self.run.note(records.Sampled(clock(), self.name, self.spent_ms + spent, memory / 2**20,
-                                          self.life.num_fds()))
+            self.run.note(
+                records.Sampled(
+                    clock(), self.name, self.spent_ms + spent, memory / 2**20, self.life.num_fds()
+                )
+            )
             return spent
         except psutil.Error:
-            return 0.0          # between two lives
+            return 0.0  # between two lives
 
     async def step(self, step):
         if step.what == "freeze":
@@ -192,7 +218,7 @@
 
     def cpus_of(self, node):
         """The emulator has the first core, the clients the next ones, the nodes share the rest."""
-        mine = self.cpus[1 + self.script.load.processes:]
+        mine = self.cpus[1 + self.script.load.processes :]
         return [mine[int(node.name[1:]) % len(mine)]] if mine else ()
 
     async def make(self, progress=lambda text: None):
@@ -205,20 +231,37 @@
         return self._result(codes)
 
     def _helper(self, name, *words, cpus=()):
-        process = Process(name, [sys.executable, "-m", "swiftthread.lab", *words], self.folder, cpus,
-                          stdin=subprocess.PIPE, stdout=subprocess.PIPE,
-                          env=os.environ | {"PYTHONPATH": str(TREE)})
+        process = Process(
+            name,
+            [sys.executable, "-m", "swiftthread.lab", *words],
+            self.folder,
+            cpus,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            env=os.environ | {"PYTHONPATH": str(TREE)},
+        )
         self.processes.append(process)
         return process
 
     async def _play(self, progress):
         script, load = self.script, self.script.load
         told = [str(self.folder / "script.json"), "--seed", str(self.seed)]
-        emulator = self._helper("emulator", "emulate", *told, "--rows", str(self.folder / "emulator.rows"),
-                                cpus=self.cpus[:1])
-        clients = [self._helper(f"load-{part}", "clients", *told, "--part", str(part),
-                                "--rows", str(self.folder / f"load-{part}.rows"), cpus=self.cpus[1 + part:2 + part])
-                   for part in range(load.processes)]
+        emulator = self._helper(
+            "emulator", "emulate", *told, "--rows", str(self.folder / "emulator.rows"), cpus=self.cpus[:1]
+        )
+        clients = [
+            self._helper(
+                f"load-{part}",
+                "clients",
+                *told,
+                "--part",
+                str(part),
+                "--rows",
+                str(self.folder / f"load-{part}.rows"),
+                cpus=self.cpus[1 + part : 2 + part],
+            )
+            for part in range(load.processes)
+        ]
         page = json.loads(await emulator.says())
         for client in clients:
             await client.says()
@@ -290,15 +333,28 @@
         worst = max(lag, key=lag.get) if lag else None
         cpu = sum(node.spent_ms for node in self.nodes)
         result = {
-            "script": self.script.title, "seed": self.seed, "node": self.node, "measure": round(service.measure(), 4),
-            "breaches": [{"rule": b.rule, "at_ms": round(b.at - self.t0, 1), "text": b.text} for b in breaches],
+            "script": self.script.title,
+            "seed": self.seed,
+            "node": self.node,
+            "measure": round(service.measure(), 4),
+            "breaches": [
+                {"rule": b.rule, "at_ms": round(b.at - self.t0, 1), "text": b.text} for b in breaches
+            ],
             "counts": dict(sorted(service.counts.items())),
-            "hand_in_ms": {name: histogram.get_value_at_percentile(share) / 1000.0
-                           for name, share in (("p50", 50), ("p90", 90), ("p99", 99), ("max", 100))},
-            "cpu_ms": round(cpu, 1), "cpu_ms_per_acked": round(cpu / max(1, service.counts["acked"]), 3),
-            "rss_mib": round(rss, 1), "fds": fds, "lag_ms": {who: round(ms, 1) for who, ms in sorted(lag.items())},
-            "void": f"the loop of {worst} came {lag[worst]:.0f} ms late" if worst and lag[worst] > MOST_LAG_MS else "",
-            "exit_codes": codes, "t0": self.t0,
+            "hand_in_ms": {
+                name: histogram.get_value_at_percentile(share) / 1000.0
+                for name, share in (("p50", 50), ("p90", 90), ("p99", 99), ("max", 100))
+            },
+            "cpu_ms": round(cpu, 1),
+            "cpu_ms_per_acked": round(cpu / max(1, service.counts["acked"]), 3),
+            "rss_mib": round(rss, 1),
+            "fds": fds,
+            "lag_ms": {who: round(ms, 1) for who, ms in sorted(lag.items())},
+            "void": f"the loop of {worst} came {lag[worst]:.0f} ms late"
+            if worst and lag[worst] > MOST_LAG_MS
+            else "",
+            "exit_codes": codes,
+            "t0": self.t0,
         }
         (self.folder / "result.json").write_text(json.dumps(result, indent=1))
         return result
--- a/swiftthread/lab/scripts.py
+++ b/swiftthread/lab/scripts.py
@@ -1,4 +1,5 @@
 """Incidents as files: TOML, read through msgspec. Every fault is one line with the file and the key."""
+
 import re
 from importlib import resources
 from typing import Annotated, Literal
@@ -11,12 +12,36 @@
 Many = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
 
 # What a step may be, by whom it is carried out.
-AT_ENDPOINTS = {"refuse", "vanish", "errors", "reset_after", "half_answers", "swallow", "full", "shut", "slow", "limit",
-                "pause", "drain", "gone", "join", "heal", "reset_before", "slow_read", "slow_write"}
+AT_ENDPOINTS = {
+    "refuse",
+    "vanish",
+    "errors",
+    "reset_after",
+    "half_answers",
+    "swallow",
+    "full",
+    "shut",
+    "slow",
+    "limit",
+    "pause",
+    "drain",
+    "gone",
+    "join",
+    "heal",
+    "reset_before",
+    "slow_read",
+    "slow_write",
+}
 AT_NODES = {"kill", "restart", "freeze"}
 AT_DISCOVERY = {"discovery_silent", "discovery_cut"}
 AT_LOAD = {"burst"}
-LASTING = {"shut", "pause", "freeze", "burst", "discovery_silent"}    # these need for_ms: nothing else ends them
+LASTING = {
+    "shut",
+    "pause",
+    "freeze",
+    "burst",
+    "discovery_silent",
+}  # these need for_ms: nothing else ends them
 
 
 class Faulty(Exception):
@@ -42,6 +67,7 @@
 
 class Destination(Strict):
     """`count` destinations alike, numbered from `number` on, each with `endpoints` dealt to the halls in turn."""
+
     number: Annotated[int, msgspec.Meta(ge=0, le=60000)]
     count: Many = 1
     endpoints: Many = 2
@@ -114,7 +140,9 @@
     lasts_s: Positive = 20.0
     drain_s: Positive = 8.0
     seed: int = 1
-    halls: Annotated[list[str], msgspec.Meta(min_length=1)] = msgspec.field(default_factory=lambda: ["east", "west"])
+    halls: Annotated[list[str], msgspec.Meta(min_length=1)] = msgspec.field(
+        default_factory=lambda: ["east", "west"]
+    )
     load: Load = Load()
     fleet: Fleet = Fleet()
     rules: Rules = Rules()
@@ -125,7 +153,13 @@
         for table in self.destination:
             for number in range(table.number, table.number + table.count):
                 for at in range(table.endpoints + table.spares):
-                    yield (f"d{number}-{at}", number, table, self.halls[at % len(self.halls)], at >= table.endpoints)
+                    yield (
+                        f"d{number}-{at}",
+                        number,
+                        table,
+                        self.halls[at % len(self.halls)],
+                        at >= table.endpoints,
+                    )
 
     def aimed(self, on):
         """Names of the endpoints that `on` means: "endpoint:d1-0", "dest:1", "hall:east", "spares:1" or "all"."""
@@ -199,12 +233,16 @@
         with open(path, "rb") as source:
             return parse(source.read(), str(path))
     except OSError as fault:
-        raise Faulty(f"{path}: {fault.strerror.lower()}; the shipped ones are {', '.join(shipped_names())}") from None
+        raise Faulty(
+            f"{path}: {fault.strerror.lower()}; the shipped ones are {', '.join(shipped_names())}"
+        ) from None
 
 
 def shipped_names():
     folder = resources.files("swiftthread.lab") / "incidents"
-    return sorted(entry.name.removesuffix(".toml") for entry in folder.iterdir() if entry.name.endswith(".toml"))
+    return sorted(
+        entry.name.removesuffix(".toml") for entry in folder.iterdir() if entry.name.endswith(".toml")
+    )
 
 
 EFFECTS = {"idempotent": "retryable", "deduplicated": "dedup", "non-idempotent": "fragile"}
@@ -214,17 +252,52 @@
     """The start object's settings, in the words of the platform, for a node of this script's fleet."""
     fleet, rules = script.fleet, script.rules
     listed = any(row.rate_per_s and row.listed for row in script.destination)
-    return {"Balancers": fleet.nodes, "Position": position, "Kinds": ["plain"], "Localities": script.halls,
-            "Weights": "nominal" if listed else "off", "Period": 0.005, "Discovery": "push",
-            "Stats": {"Fields": [], "How": "off"}, "Realms": [],
-            "Domain": {"CallsOut": fleet.calls_out, "KindBatch": [fleet.batch], "RoutesApart": [False],
-                       "Carriage": [0.0] * len(script.halls), "LosesWorth": "even"},
-            "Obligations": {"FallMultiple": rules.fall_multiple, "ColdFrom": rules.cold_from,
-                            "WarmUp": rules.warm_up_ms / 1000.0, "KeyRest": rules.key_rest_ms / 1000.0,
-                            "StopSendingWithin": rules.grace_ms / 1000.0, "Fall": rules.fall_ms / 1000.0},
-            "Permissions": {"TryLimit": fleet.most_sends, "MaxOpen": fleet.room, "Keepalive": 5.0,
-                            "ConnectTimeout": 0.5, "Probes": fleet.probes, "RetryAfter": True, "MaxRetryAfter": 3.0},
-            "Profiles": [{"Name": s.name, "Effect": EFFECTS[s.effect], "Aim": s.slo_ms / 1000.0,
-                          "Deadline": s.max_age_ms / 1000.0, "Value": s.utility, "LateWorth": s.late_utility,
-                          "Group": s.group, "Window": s.window_ms / 1000.0, "InTurn": s.in_order}
-                         for s in script.stream]}
+    return {
+        "Balancers": fleet.nodes,
+        "Position": position,
+        "Kinds": ["plain"],
+        "Localities": script.halls,
+        "Weights": "nominal" if listed else "off",
+        "Period": 0.005,
+        "Discovery": "push",
+        "Stats": {"Fields": [], "How": "off"},
+        "Realms": [],
+        "Domain": {
+            "CallsOut": fleet.calls_out,
+            "KindBatch": [fleet.batch],
+            "RoutesApart": [False],
+            "Carriage": [0.0] * len(script.halls),
+            "LosesWorth": "even",
+        },
+        "Obligations": {
+            "FallMultiple": rules.fall_multiple,
+            "ColdFrom": rules.cold_from,
+            "WarmUp": rules.warm_up_ms / 1000.0,
+            "KeyRest": rules.key_rest_ms / 1000.0,
+            "StopSendingWithin": rules.grace_ms / 1000.0,
+            "Fall": rules.fall_ms / 1000.0,
+        },
+        "Permissions": {
+            "TryLimit": fleet.most_sends,
+            "MaxOpen": fleet.room,
+            "Keepalive": 5.0,
+            "ConnectTimeout": 0.5,
+            "Probes": fleet.probes,
+            "RetryAfter": True,
+            "MaxRetryAfter": 3.0,
+        },
+        "Profiles": [
+            {
+                "Name": s.name,
+                "Effect": EFFECTS[s.effect],
+                "Aim": s.slo_ms / 1000.0,
+                "Deadline": s.max_age_ms / 1000.0,
+                "Value": s.utility,
+                "LateWorth": s.late_utility,
+                "Group": s.group,
+                "Window": s.window_ms / 1000.0,
+                "InTurn": s.in_order,
+            }
+            for s in script.stream
+        ],
+    }
--- a/swiftthread/plain.py
+++ b/swiftthread/plain.py
@@ -5,14 +5,17 @@
 for in order (`in_order`), and makes the three calls: `where`, `after`, `wait`. Moments and lengths of
 time are milliseconds with fractions; moments are read off one clock that only goes forward.
 """
+
 from typing import NamedTuple
 
 # How a send can end, whatever the protocol calls it.
 ACKED, ERROR, FULL, TIMEOUT = "acked", "error", "full", "timeout"
 UNREACHED, RESET, CANCELLED, UNSENT = "unreached", "reset", "cancelled", "unsent"
-TABLE_FULL = "table full"   # turned away with its new connection: the endpoint runs, its connection table is full
-KEPT = "kept"               # this node itself let none of its last byte go: no send of the event's, nobody was called
-NEVER_RAN = (FULL, UNREACHED, UNSENT, TABLE_FULL, KEPT)     # what surely had no effect
+TABLE_FULL = (
+    "table full"  # turned away with its new connection: the endpoint runs, its connection table is full
+)
+KEPT = "kept"  # this node itself let none of its last byte go: no send of the event's, nobody was called
+NEVER_RAN = (FULL, UNREACHED, UNSENT, TABLE_FULL, KEPT)  # what surely had no effect
 
 # Effects of a stream type.
 IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT = "idempotent", "deduplicated", "non-idempotent"
@@ -20,12 +23,14 @@
 
 class Send(NamedTuple):
     """Send the event to this sink, and stop waiting after so long."""
+
     sink: object
     allow_ms: float
 
 
 class Decline(NamedTuple):
     """Hand the event back; the client may try again, best after this long (0: no advice)."""
+
     come_back_ms: float
 
 
@@ -39,12 +44,14 @@
 
 class Wait(NamedTuple):
     """Ask again at this moment, or before it as soon as any send of this node ends."""
+
     until: float
     or_outcome: bool
 
 
 class StreamType(NamedTuple):
     """What the client's contract says of a kind of event."""
+
     slo_ms: float
     max_age_ms: float
     utility: float = 1.0
@@ -57,8 +64,26 @@
 
 class Event:
     """An event in hand. The ticket is the door's; all else is kept by the decisions."""
-    __slots__ = ("ticket", "stream", "dest", "subject", "weight", "slo_at", "ends_at", "ask_at", "by_outcome",
-                 "sends", "sink", "call", "sent_at", "sent_group", "maybe_at", "maybe_group", "over")
+
+    __slots__ = (
+        "ticket",
+        "stream",
+        "dest",
+        "subject",
+        "weight",
+        "slo_at",
+        "ends_at",
+        "ask_at",
+        "by_outcome",
+        "sends",
+        "sink",
+        "call",
+        "sent_at",
+        "sent_group",
+        "maybe_at",
+        "maybe_group",
+        "over",
+    )
 
     def __init__(self, stream, dest, subject, now, left, weight):
         self.stream, self.dest, self.subject, self.weight = stream, dest, subject, weight
--- a/swiftthread/queues.py
+++ b/swiftthread/queues.py
@@ -4,6 +4,7 @@
 alike stand in one `Group`, the next to go at its end; when that one is told "later", so would be all behind it, and none
 of them is asked. Events whose subject has others before them are in no group until their turn comes.
 """
+
 import heapq
 import math
 from bisect import insort
@@ -11,14 +12,20 @@
 
 from swiftthread.plain import Later, Send
 
-RESORT_MS, RESORT_MS_EACH = 20.0, 0.05  # ms, + ms an event: a group's order is this old at most; ranks drift slowly,
+RESORT_MS, RESORT_MS_EACH = (
+    20.0,
+    0.05,
+)  # ms, + ms an event: a group's order is this old at most; ranks drift slowly,
 #                                         and the sorting stays under a tenth of the time however long the group
-APART_TRIES = 3         # of a group whose routes are apart, or with a call to join: what one waits for, another may not
-SHED_TRIES = 8          # least urgent events looked at for one that can be handed back, in each group
+APART_TRIES = (
+    3  # of a group whose routes are apart, or with a call to join: what one waits for, another may not
+)
+SHED_TRIES = 8  # least urgent events looked at for one that can be handed back, in each group
 
 
 class Group:
     """Events that fare alike. `rows`: (rank reversed, number, event) in order, the next to go last."""
+
     __slots__ = ("key", "dest", "rows", "waiting", "sorted_at", "span", "until", "rings_at")
 
     def __init__(self, key, dest, now, span):
@@ -31,17 +38,20 @@
 
     def __init__(self, module):
         self.module, self.number = module, count()
-        self.place = {}         # waiting event -> its group, None while its subject has others; emptied as it leaves
-        self.row = {}           # event in a group -> its row there; any other row of it is from before. Emptied with it
-        self.groups, self.by_dest = {}, {}      # key -> group; destination -> its groups; emptied with their last event
-        self.ready = {}         # groups to ask in the next turn; emptied by it
-        self.by_slot = {}       # groups that may wait for a slot of any destination; emptied by the next outcome
-        self.sleeping = []      # heap of (moment, number, group), one that counts a group; emptied as moments pass
-        self.timed = []         # heap of [moment, number, event]: ends, and turns after a rest; emptied as they pass
-        self.ends = {}          # waiting event -> the entry of its end in `timed`; emptied as it leaves
-        self.stale = 0          # entries of `timed` whose event has left; they are sorted out when they are many
-        self.moved = []         # what moved in a turn; emptied at its end, or at the next one's where a fault broke it off
-        self.subjects = {}      # subjects of which an event has left or ended; emptied each turn
+        self.place = {}  # waiting event -> its group, None while its subject has others; emptied as it leaves
+        self.row = {}  # event in a group -> its row there; any other row of it is from before. Emptied with it
+        self.groups, self.by_dest = (
+            {},
+            {},
+        )  # key -> group; destination -> its groups; emptied with their last event
+        self.ready = {}  # groups to ask in the next turn; emptied by it
+        self.by_slot = {}  # groups that may wait for a slot of any destination; emptied by the next outcome
+        self.sleeping = []  # heap of (moment, number, group), one that counts a group; emptied as moments pass
+        self.timed = []  # heap of [moment, number, event]: ends, and turns after a rest; emptied as they pass
+        self.ends = {}  # waiting event -> the entry of its end in `timed`; emptied as it leaves
+        self.stale = 0  # entries of `timed` whose event has left; they are sorted out when they are many
+        self.moved = []  # what moved in a turn; emptied at its end, or at the next one's where a fault broke it off
+        self.subjects = {}  # subjects of which an event has left or ended; emptied each turn
 
     def __len__(self):
         return len(self.place)
@@ -97,7 +107,7 @@
         self._unseat(evt)
         self.place.pop(evt, None)
         if (entry := self.ends.pop(evt, None)) is not None:
-            entry[2] = None         # its body must not stay in memory for its whole max age
+            entry[2] = None  # its body must not stay in memory for its whole max age
             self.stale += 1
             if self.stale > 64 and 2 * self.stale > len(self.timed):
                 self.timed = [entry for entry in self.timed if entry[2] is not None]
@@ -128,7 +138,9 @@
             return -math.inf
         while self.timed and self.timed[0][2] not in self.place:
             self._pop_timed()
-        return min(self.sleeping[0][0] if self.sleeping else math.inf, self.timed[0][0] if self.timed else math.inf)
+        return min(
+            self.sleeping[0][0] if self.sleeping else math.inf, self.timed[0][0] if self.timed else math.inf
+        )
 
     def _pop_timed(self):
         entry = heapq.heappop(self.timed)
@@ -168,7 +180,7 @@
             if evt not in self.place:
                 continue
             if self.ends[evt] is entry:
-                if isinstance(self._one(evt, now), Later):       # the module has moved its end
+                if isinstance(self._one(evt, now), Later):  # the module has moved its end
                     self._ends_at(evt, max(now + 1.0, self.module.last_moment(evt, now)))
             elif self.place[evt] is None:
                 self._seat(evt, now)
@@ -177,7 +189,7 @@
         """Ask for one event; when it moves it waits no more."""
         try:
             answer = self.module.where(evt, now)
-        except Exception as fault:      # it ends this event alone, in whose life it is raised
+        except Exception as fault:  # it ends this event alone, in whose life it is raised
             answer = fault
         if not isinstance(answer, Later):
             self.left(evt)
@@ -187,8 +199,11 @@
     def _shed(self, now):
         """Over its holding room the module hands back: the least urgent of the longest queue go, not the next to go."""
         for dest in sorted(self.by_dest, key=lambda dest: -dest.held):
-            rows = [row for group in self.by_dest[dest]
-                    for row in self._least(group, self.module.held - int(self.module.room))]
+            rows = [
+                row
+                for group in self.by_dest[dest]
+                for row in self._least(group, self.module.held - int(self.module.room))
+            ]
             for _, _, _, evt in sorted(rows, key=lambda row: row[:3]):
                 if not self.module.crowded():
                     return
@@ -215,7 +230,10 @@
         while heads:
             _, _, group = heapq.heappop(heads)
             if self.module.full() and group.dest not in sent:
-                self.by_slot[group], group.until = True, math.inf     # nothing moves but what joins a call of this turn
+                self.by_slot[group], group.until = (
+                    True,
+                    math.inf,
+                )  # nothing moves but what joins a call of this turn
                 continue
             evt = group.rows[-1][3]
             answer = self._one(evt, now)
@@ -237,7 +255,7 @@
         if not rows:
             return
         evt = rows[-1][3]
-        if self.module.turn_at(evt, now) > now:         # an earlier send of its subject came to rest meanwhile
+        if self.module.turn_at(evt, now) > now:  # an earlier send of its subject came to rest meanwhile
             rows.pop()
             self._unseat(evt)
             self._seat(evt, now)
@@ -254,7 +272,7 @@
         self._rings(group)
         sinks = group.dest.sinks
         if sinks and sinks[0].apart or self.module.rides(group.dest, now):
-            for row in group.rows[-2:-2 - APART_TRIES:-1]:
+            for row in group.rows[-2 : -2 - APART_TRIES : -1]:
                 if self._stands(row):
                     self._one(row[3], now)
 
--- a/swiftthread/service/choices.py
+++ b/swiftthread/service/choices.py
@@ -4,12 +4,13 @@
 turns come late, as many requests are read in a turn as events moved in it. The rest wait in the kernel, unread, where
 they cost nothing; a client that gives up there has lost nothing, for its event was not taken.
 """
+
 import math
 
-BEHIND_GAPS = 1.0   # x the gap between turns: turns that come later than that in the mean find the node behind
-SMOOTH = 0.1        # weight of the newest turn in that mean; one light turn between heavy ones lets no crowd in
-LEAST = 8           # requests read in a turn of a node behind: some come in whatever it does
-SHARE = 0.9         # x the events that moved in a turn: somewhat less comes in than goes out, so that queues empty
+BEHIND_GAPS = 1.0  # x the gap between turns: turns that come later than that in the mean find the node behind
+SMOOTH = 0.1  # weight of the newest turn in that mean; one light turn between heavy ones lets no crowd in
+LEAST = 8  # requests read in a turn of a node behind: some come in whatever it does
+SHARE = 0.9  # x the events that moved in a turn: somewhat less comes in than goes out, so that queues empty
 
 
 class Intake:
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -1,4 +1,5 @@
 """One delivery node: the life of an event, from the hand-in to its end."""
+
 import math
 
 import anyio
@@ -21,10 +22,13 @@
         self.turns, self.ledger, self.streams, self.limits = turns_of(self.module), ledger, streams, limits
         self.tenants = tenants
         self.clock, self.wall, self.tasks = clock, wall, tasks
-        self.room, self.max_ages = terms.get("room") or 10000, [stream.max_age_ms for stream in terms["streams"]]
-        self.held_bytes, self.stopping, self.sends_until = 0, False, math.inf     # the last: the module's clock
+        self.room, self.max_ages = (
+            terms.get("room") or 10000,
+            [stream.max_age_ms for stream in terms["streams"]],
+        )
+        self.held_bytes, self.stopping, self.sends_until = 0, False, math.inf  # the last: the module's clock
         self.intake = Intake(self.turns.gap)
-        self.courier = self.notices = self.door = None      # joined by the start, once the lists are known
+        self.courier = self.notices = self.door = None  # joined by the start, once the lists are known
 
     def take(self, held):
         """The door asks: (status, what to do once it is answered, ms after which to come back). In the log before it
@@ -49,9 +53,17 @@
         """Hand an event to the module, with what the log knows of its sends."""
         now, wall = self.clock(), self.wall()
         if self.tenants and held.tenant not in self.tenants:
-            logger.warning("{}: tenant {!r} is none of the settings'; it has no share", held.ident, held.tenant)
-        evt = held.evt = self.module.take(now, self.streams[held.stream], held.dest, held.ends_at - wall,
-                                          self.tenants.get(held.tenant), held.subject)
+            logger.warning(
+                "{}: tenant {!r} is none of the settings'; it has no share", held.ident, held.tenant
+            )
+        evt = held.evt = self.module.take(
+            now,
+            self.streams[held.stream],
+            held.dest,
+            held.ends_at - wall,
+            self.tenants.get(held.tenant),
+            held.subject,
+        )
         evt.ticket, evt.sends = held, held.sends
         if held.maybe is not None:
             # The wall clock may have been set back meanwhile: a send cannot be ahead of us.
@@ -62,8 +74,10 @@
         """What the log says is still owed."""
         for held in list(self.ledger.held.values()):
             if held.stream not in self.streams:
-                logger.error("{} is owed, but of a stream type that is no more: {}; it ends", held.ident, held.stream)
-                what = plain.Discard if held.maybe else plain.Decline    # what surely never ran may come again
+                logger.error(
+                    "{} is owed, but of a stream type that is no more: {}; it ends", held.ident, held.stream
+                )
+                what = plain.Discard if held.maybe else plain.Decline  # what surely never ran may come again
                 self.tasks.start_soon(self.tell, held, OUTCOMES[what], 0.0)
                 continue
             self.begin(held)
@@ -75,7 +89,9 @@
         """An event, from the moment that its client has heard of it to its end."""
         try:
             await self.deliver(held)
-        except Exception:       # guards the other events: a fault ends this one alone, and nothing is promised of it
+        except (
+            Exception
+        ):  # guards the other events: a fault ends this one alone, and nothing is promised of it
             logger.exception("the life of an event failed; it is given up")
             self.module.withdrawn(held.evt, self.clock())
             held.decision = (OUTCOMES[plain.Discard], 0.0)
@@ -105,7 +121,9 @@
                 now = await self.turns.tell()
                 answer = self.module.after(evt, end.outcome, now, end.latency, end.told, end.over, end.report)
                 self.turns.learnt(evt.dest)
-                if noted and end.outcome in plain.NEVER_RAN:    # else it is an earlier send that the log has as out
+                if (
+                    noted and end.outcome in plain.NEVER_RAN
+                ):  # else it is an earlier send that the log has as out
                     self.ledger.never_ran(held)
                 if end.over:
                     break
--- a/swiftthread/service/start.py
+++ b/swiftthread/service/start.py
@@ -1,4 +1,5 @@
 """Start, reload and stop of one node: everything it owns is made here and given back here."""
+
 import math
 import os
 import signal
@@ -50,7 +51,9 @@
 
 async def _serve(told, signals):
     terms = told.terms
-    limits = bounds.Limits(told.limits, terms.get("slots"), terms.get("keepalive_ms", 60000.0), terms.get("connect_ms"))
+    limits = bounds.Limits(
+        told.limits, terms.get("slots"), terms.get("keepalive_ms", 60000.0), terms.get("connect_ms")
+    )
     ledger = Ledger(told.state, limits.disk, wall)
     try:
         for line in told.doubts:
@@ -58,24 +61,61 @@
         if ledger.cut_off:
             logger.warning("{} bytes at the end of the log were torn and are cut off", ledger.cut_off)
         for begin, end in ledger.unread:
-            logger.error("{}: bytes {} to {} are none of this program's records; what was taken before them is held to"
-                         " have been sent", ledger.path, begin, end)
+            logger.error(
+                "{}: bytes {} to {} are none of this program's records; what was taken before them is held to"
+                " have been sent",
+                ledger.path,
+                begin,
+                end,
+            )
         async with anyio.create_task_group() as tasks:
             buffers, lines = Buffers(), Lines(clock, limits.most_idle, limits.idle_lines)
-            registry = Registry(told.discovery, buffers, told.kinds, told.zones, bounds.WATCH_QUIET_MS,
-                                bounds.PLATFORM_MS)
-            node = Node(told.seed, terms, told.streams, told.tenants,
-                        lambda module: Turns(module, clock, terms.get("tick_ms", 5.0)), ledger, clock, wall, limits, tasks)
-            node.courier = Courier(tasks, lines, buffers, clock, wall, registry.addresses, limits, told.report_names,
-                                   node.module.leaves_by)
+            registry = Registry(
+                told.discovery, buffers, told.kinds, told.zones, bounds.WATCH_QUIET_MS, bounds.PLATFORM_MS
+            )
+            node = Node(
+                told.seed,
+                terms,
+                told.streams,
+                told.tenants,
+                lambda module: Turns(module, clock, terms.get("tick_ms", 5.0)),
+                ledger,
+                clock,
+                wall,
+                limits,
+                tasks,
+            )
+            node.courier = Courier(
+                tasks,
+                lines,
+                buffers,
+                clock,
+                wall,
+                registry.addresses,
+                limits,
+                told.report_names,
+                node.module.leaves_by,
+            )
             node.notices = Notices(told.discovery, buffers, bounds.PLATFORM_MS, bounds.NOTICE_PAUSE_MS)
-            door = node.door = Door(node.take, told.streams, buffers, limits, wall, bounds.FIRST_MS,
-                                    bounds.REQUEST_MS, bounds.CLIENT_IDLE_MS, node.intake, node.turns.ring)
+            door = node.door = Door(
+                node.take,
+                told.streams,
+                buffers,
+                limits,
+                wall,
+                bounds.FIRST_MS,
+                bounds.REQUEST_MS,
+                bounds.CLIENT_IDLE_MS,
+                node.intake,
+                node.turns.ring,
+            )
             if told.known:
                 try:
                     node.module.listed(*registry.entries(told.known), clock())
                 except UNREADABLE as fault:
-                    logger.warning("the configuration's known list cannot be read ({}); the watch will tell", fault)
+                    logger.warning(
+                        "the configuration's known list cannot be read ({}); the watch will tell", fault
+                    )
             node.resume()
             tasks.start_soon(node.notices.run)
             tasks.start_soon(node.turns.run, node.each_turn)
@@ -83,7 +123,9 @@
             listener = listening(told.listen, limits.backlog)
             try:
                 tasks.start_soon(door.serve, listener, tasks)
-                logger.info("{} serves on {}:{}; {} events are owed", told.name, *told.listen, len(ledger.held))
+                logger.info(
+                    "{} serves on {}:{}; {} events are owed", told.name, *told.listen, len(ledger.held)
+                )
                 async for which in signals:
                     if which == signal.SIGHUP:
                         told = reload(told, registry, node.notices)
--- a/swiftthread/service/told.py
+++ b/swiftthread/service/told.py
@@ -1,11 +1,12 @@
 """What a node is told at start: its configuration, read and checked once."""
+
 import json
 
 from swiftthread.terms import Malformed, doubts, names_of, terms_of
 from swiftthread.wire.line import address_of
 
 
-LATER = ("listen", "state", "limits", "settings")     # read at a start alone: what is held and out rests on them
+LATER = ("listen", "state", "limits", "settings")  # read at a start alone: what is held and out rests on them
 
 
 class Told:
@@ -28,11 +29,15 @@
             self.listen = address_of(environ.get("LB_LISTEN") or conf["listen"])
             self.discovery = address_of(not anew and environ.get("LB_DISCOVERY") or conf["discovery"])
             self.state = environ.get("LB_STATE") or conf["state"]
-            self.seed, self.known, self.limits = int(str(conf["seed"]), 16), conf.get("known"), conf.get("limits") or {}
+            self.seed, self.known, self.limits = (
+                int(str(conf["seed"]), 16),
+                conf.get("known"),
+                conf.get("limits") or {},
+            )
             self.terms, self.report_names = terms_of(conf["settings"])
             self.doubts = list(doubts(conf["settings"]))
             if not isinstance(self.known, dict):
-                self.known = None       # the watch will tell
+                self.known = None  # the watch will tell
             self.later = {part: conf.get(part) for part in LATER}
             self.streams, self.kinds, self.zones, self.tenants = names_of(conf["settings"])
         except Malformed as fault:
--- a/swiftthread/service/turns.py
+++ b/swiftthread/service/turns.py
@@ -1,4 +1,5 @@
 """When each event is asked for. Which are asked, and in which order: queues.py and the module."""
+
 import math
 
 import anyio
@@ -10,6 +11,7 @@
 
 class Turn:
     """One wait for a turn; it comes with its moment and what the module said."""
+
     __slots__ = ("begun", "said")
 
     def __init__(self):
@@ -31,10 +33,10 @@
 
     def __init__(self, module, clock, gap_ms):
         self.module, self.clock, self.gap, self.queues = module, clock, gap_ms, Queues(module)
-        self.heard = []             # those with something to tell; emptied each turn
-        self.asked = {}             # waiting event -> its turn; emptied as they move
+        self.heard = []  # those with something to tell; emptied each turn
+        self.asked = {}  # waiting event -> its turn; emptied as they move
         self.bell, self.rung, self.sleeps_until = anyio.Event(), False, -math.inf
-        self.sending = True     # set to False by the stop: outcomes are still heard, no event is asked for
+        self.sending = True  # set to False by the stop: outcomes are still heard, no event is asked for
 
     async def tell(self):
         """Wait for the beginning of a turn, to tell the module what was learnt; its moment."""
@@ -76,7 +78,7 @@
                 now = self.clock()
                 moved = await self._turn(now)
                 once_asked(now, moved, late)
-            except Exception:       # guards the node: the next turn asks all again
+            except Exception:  # guards the node: the next turn asks all again
                 logger.exception("a turn failed")
                 self.queues.stir()
             begun = self.clock()
@@ -99,12 +101,12 @@
         for turn in heard:
             turn.begin(now)
         if heard:
-            await checkpoint()      # they run up to their next wait
+            await checkpoint()  # they run up to their next wait
         if not self.sending:
             return 0
         moved = self.queues.turn(now)
         for evt, answer in moved:
-            if (turn := self.asked.pop(evt, None)) is None:     # guards the others that moved in this turn
+            if (turn := self.asked.pop(evt, None)) is None:  # guards the others that moved in this turn
                 logger.error("an event moved that nobody asked for")
                 continue
             turn.begin(now, answer)
--- a/swiftthread/store/buffers.py
+++ b/swiftthread/store/buffers.py
@@ -1,14 +1,15 @@
 """Buffers for what comes in: all of one size, lent for one read each and used again."""
+
 from contextlib import contextmanager
 
-SIZE = 16 * 1024    # bytes: most of what is read is a head and a small body; larger ones take several reads
+SIZE = 16 * 1024  # bytes: most of what is read is a head and a small body; larger ones take several reads
 
 
 class Buffers:
     """Owner of the buffers. One is lent while bytes go from the socket to the parser, and no longer."""
 
     def __init__(self):
-        self.free = []      # as many as were ever lent at once, and no more
+        self.free = []  # as many as were ever lent at once, and no more
 
     @contextmanager
     def lent(self):
--- a/swiftthread/store/ledger.py
+++ b/swiftthread/store/ledger.py
@@ -6,6 +6,7 @@
 What cannot be read is passed over, and what it may have said is taken for said: any event taken before it may have run.
 A decision for which there is no room on the disk is noted in place, as the kind of the event's first record.
 """
+
 import hashlib
 import json
 import os
@@ -16,18 +17,20 @@
 
 from loguru import logger
 
-HEAD = struct.Struct("<IIc")    # checksum of all that follows it, length of the payload, kind
+HEAD = struct.Struct("<IIc")  # checksum of all that follows it, length of the payload, kind
 TAKEN, STATE, SENT, NEVER_RAN, DECIDED, ENDED = b"T", b"S", b"O", b"N", b"D", b"E"
-GIVEN_UP, HANDED_BACK = b"G", b"H"      # in the place of TAKEN, whose checksum it keeps: taken, and decided
+GIVEN_UP, HANDED_BACK = b"G", b"H"  # in the place of TAKEN, whose checksum it keeps: taken, and decided
 IN_PLACE = {"given_up": GIVEN_UP, "handed_back": HANDED_BACK}
 DECIDED_IN = {kind: outcome for outcome, kind in IN_PLACE.items()}
 KIND_AT = HEAD.size - 1
 KINDS = re.compile(b"[TSONDEGH]")
-UNKNOWN = (0.0, None)   # a send of which nothing is known but that it may have run: long ago, in no group
-FILE_SHARE = 0.45       # of the disk: the old file and the new one lie there together while it is rewritten
-LIVE_SHARE = 0.35       # of the disk: what events held may need, so that a rewritten file has room to grow
-RESERVE = 100           # bytes beside the id of each record that an event may need later: state, send, decision
-OVER_MS = 3000.0        # for which the id of an ended event is known: a hand-in sent again on another connection. It
+UNKNOWN = (0.0, None)  # a send of which nothing is known but that it may have run: long ago, in no group
+FILE_SHARE = 0.45  # of the disk: the old file and the new one lie there together while it is rewritten
+LIVE_SHARE = 0.35  # of the disk: what events held may need, so that a rewritten file has room to grow
+RESERVE = 100  # bytes beside the id of each record that an event may need later: state, send, decision
+OVER_MS = (
+    3000.0  # for which the id of an ended event is known: a hand-in sent again on another connection. It
+)
 #                         counts from a start as well: nobody could come while the process was away
 NAME, NEW_NAME = "ledger", "ledger.new"
 
@@ -40,11 +43,15 @@
         self.ident, self.key, self.stream, self.dest, self.ends_at = ident, key, stream, dest, ends_at
         self.tenant, self.subject, self.body = tenant, subject, body
         self.sends, self.out, self.maybe, self.decision, self.evt, self.cost = 0, None, None, None, None, 0
-        self.at, self.logged = 0, False     # where its first record stands in the file; whether its decision does
+        self.at, self.logged = (
+            0,
+            False,
+        )  # where its first record stands in the file; whether its decision does
 
     def record(self):
-        head = json.dumps([self.ident, self.key, self.stream, self.dest, self.ends_at, self.tenant,
-                           self.subject]).encode()
+        head = json.dumps(
+            [self.ident, self.key, self.stream, self.dest, self.ends_at, self.tenant, self.subject]
+        ).encode()
         return record(TAKEN, struct.pack("<I", len(head)) + head + self.body)
 
     def sent(self, at, zone):
@@ -68,12 +75,16 @@
         at = found.start() - KIND_AT
         check, length, kind = HEAD.unpack_from(data, at)
         end, first = at + HEAD.size + length, TAKEN if kind in DECIDED_IN else kind
-        if end > len(data) or zlib.crc32(data[at + HEAD.size:end], zlib.crc32(data[at + 4:at + KIND_AT] + first)) != check:
+        if (
+            end > len(data)
+            or zlib.crc32(data[at + HEAD.size : end], zlib.crc32(data[at + 4 : at + KIND_AT] + first))
+            != check
+        ):
             at += 1
             continue
         if at > read:
             yield read, at, None, b""
-        yield at, end, kind, data[at + HEAD.size:end]
+        yield at, end, kind, data[at + HEAD.size : end]
         at = read = end
     if read < len(data):
         yield read, len(data), None, b""
@@ -92,11 +103,18 @@
 
     def __init__(self, folder, disk_bytes, wall):
         self.path, self.new_path = os.path.join(folder, NAME), os.path.join(folder, NEW_NAME)
-        self.most, self.most_live, self.wall = int(FILE_SHARE * disk_bytes), int(LIVE_SHARE * disk_bytes), wall
+        self.most, self.most_live, self.wall = (
+            int(FILE_SHARE * disk_bytes),
+            int(LIVE_SHARE * disk_bytes),
+            wall,
+        )
         self.held, self.live = {}, 0
-        self.cut_off, self.unread = 0, []   # bytes of a record torn at the end; (begin, end) of what could not be read
-        self.is_cut = True      # False: a write broke off, and what it left at the end is still there
-        self.over = {}      # id of an ended event -> (when, its mark); emptied as they grow old
+        self.cut_off, self.unread = (
+            0,
+            [],
+        )  # bytes of a record torn at the end; (begin, end) of what could not be read
+        self.is_cut = True  # False: a write broke off, and what it left at the end is still there
+        self.over = {}  # id of an ended event -> (when, its mark); emptied as they grow old
         if os.path.exists(self.new_path):
             os.unlink(self.new_path)
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -117,11 +135,11 @@
             elif kind is None or not self._noted(begin, kind, payload):
                 self._unread(begin, end)
         for held in self.held.values():
-            held.maybe = held.maybe or held.out     # a send that was out at death may have run
+            held.maybe = held.maybe or held.out  # a send that was out at death may have run
         if self.unread:
             try:
                 self._rewrite()
-            except OSError as fault:    # it stays as it is, and is read the same the next time
+            except OSError as fault:  # it stays as it is, and is read the same the next time
                 logger.error("the log cannot be written anew: {}", fault.strerror)
 
     def _unread(self, begin, end):
@@ -140,8 +158,8 @@
 
     def _note(self, at, kind, payload):
         if kind == TAKEN or kind in DECIDED_IN:
-            size, = struct.unpack_from("<I", payload)
-            held = Held(*json.loads(payload[4:4 + size]), payload[4 + size:])
+            (size,) = struct.unpack_from("<I", payload)
+            held = Held(*json.loads(payload[4 : 4 + size]), payload[4 + size :])
             held.at = at
             if kind in DECIDED_IN:
                 held.decision, held.logged = (DECIDED_IN[kind], 0.0), True
@@ -150,7 +168,7 @@
         ident, *rest = json.loads(payload)
         held = self.held.get(ident)
         if kind == ENDED:
-            self.over.pop(ident, None)      # the latest stands last
+            self.over.pop(ident, None)  # the latest stands last
             self.over[ident] = self.wall(), held.mark() if held else rest[0] if rest else None
         if held is None:
             return
@@ -183,7 +201,7 @@
         try:
             self._write(self.file, data)
         except OSError:
-            os.ftruncate(self.file, self.size)      # all of it, or none
+            os.ftruncate(self.file, self.size)  # all of it, or none
             self.is_cut = True
             raise
         self.is_cut, self.size = True, self.size + len(data)
@@ -192,10 +210,10 @@
     def _write(file, data):
         left = memoryview(data)
         while left:
-            left = left[os.write(file, left):]
+            left = left[os.write(file, left) :]
 
     def _rewrite(self):
-        parts, places = [], []      # of each event: what is written of it; where that begins
+        parts, places = [], []  # of each event: what is written of it; where that begins
         for held in self.held.values():
             places.append(len(parts))
             parts.append(held.record())
@@ -246,7 +264,7 @@
             return other.mark() == held.mark()
         if held.ident not in self.over:
             return None
-        return self.over[held.ident][1] in (None, held.mark())      # a log from before marks holds none
+        return self.over[held.ident][1] in (None, held.mark())  # a log from before marks holds none
 
     def taken(self, held):
         """False when the log has no room for the event or cannot take it; then it is not held."""
@@ -277,14 +295,17 @@
     def decided(self, held, outcome, retry_in_ms):
         """False when the log cannot take it, not even in place: a restart would not know of it."""
         held.decision = (outcome, retry_in_ms)
-        held.logged = held.logged or self._said(DECIDED, held.ident, outcome, retry_in_ms) \
+        held.logged = (
+            held.logged
+            or self._said(DECIDED, held.ident, outcome, retry_in_ms)
             or self._in_place(held, IN_PLACE[outcome])
+        )
         return held.logged
 
     def _in_place(self, held, kind):
         """What has its bytes already needs no room."""
         try:
-            file = os.open(self.path, os.O_WRONLY)      # not the one that appends whatever the place
+            file = os.open(self.path, os.O_WRONLY)  # not the one that appends whatever the place
             try:
                 return os.pwrite(file, kind, held.at + KIND_AT) == 1
             finally:
--- a/swiftthread/store/lines.py
+++ b/swiftthread/store/lines.py
@@ -1,4 +1,5 @@
 """Idle connections to endpoints, kept for the next call."""
+
 from collections import deque
 
 
@@ -7,7 +8,7 @@
 
     def __init__(self, clock, most_idle_ms, most):
         self.clock, self.most_idle, self.most = clock, most_idle_ms, most
-        self.idle = {}      # (endpoint id, address) -> connections, oldest first; emptied by use, age, closes or an end
+        self.idle = {}  # (endpoint id, address) -> connections, oldest first; emptied by use, age, closes or an end
         self.count = 0
 
     def take(self, place):
--- a/swiftthread/terms.py
+++ b/swiftthread/terms.py
@@ -1,4 +1,5 @@
 """The one reader of the start object that an instance is handed, on the drill's wire or on sockets."""
+
 import json
 import math
 
@@ -33,16 +34,28 @@
         allowed, stats = conf.get("Permissions") or {}, conf.get("Stats") or {}
         streams = [stream_of(number, row) for number, row in enumerate(conf.get("Profiles") or ())]
         terms = {
-            "streams": streams, "nodes": conf.get("Balancers"), "position": conf.get("Position"),
-            "slots": domain.get("CallsOut"), "room": allowed.get("MaxOpen"), "most_sends": allowed.get("TryLimit"),
-            "batch_by_kind": domain.get("KindBatch"), "apart_by_kind": domain.get("RoutesApart"),
-            "carriage_by_zone": domain.get("Carriage"), "halving": domain.get("LosesWorth") == "by_half",
-            "listed_rates": conf.get("Weights"), "quotas": [row.get("QuotaPerS") for row in conf.get("Realms") or ()],
-            "over_quota_utility": conf.get("OverShareWorth"), "may_probe": allowed.get("Probes"),
-            "may_advise": allowed.get("RetryAfter"), "most_advice_ms": ms(allowed.get("MaxRetryAfter")),
-            "asks_for_list": conf.get("Discovery") == "ask", "fall_multiple": rules.get("FallMultiple"),
-            "cold_from": rules.get("ColdFrom"), "warm_up_ms": ms(rules.get("WarmUp")),
-            "key_rest_ms": ms(rules.get("KeyRest")), "tick_ms": ms(conf.get("Period")),
+            "streams": streams,
+            "nodes": conf.get("Balancers"),
+            "position": conf.get("Position"),
+            "slots": domain.get("CallsOut"),
+            "room": allowed.get("MaxOpen"),
+            "most_sends": allowed.get("TryLimit"),
+            "batch_by_kind": domain.get("KindBatch"),
+            "apart_by_kind": domain.get("RoutesApart"),
+            "carriage_by_zone": domain.get("Carriage"),
+            "halving": domain.get("LosesWorth") == "by_half",
+            "listed_rates": conf.get("Weights"),
+            "quotas": [row.get("QuotaPerS") for row in conf.get("Realms") or ()],
+            "over_quota_utility": conf.get("OverShareWorth"),
+            "may_probe": allowed.get("Probes"),
+            "may_advise": allowed.get("RetryAfter"),
+            "most_advice_ms": ms(allowed.get("MaxRetryAfter")),
+            "asks_for_list": conf.get("Discovery") == "ask",
+            "fall_multiple": rules.get("FallMultiple"),
+            "cold_from": rules.get("ColdFrom"),
+            "warm_up_ms": ms(rules.get("WarmUp")),
+            "key_rest_ms": ms(rules.get("KeyRest")),
+            "tick_ms": ms(conf.get("Period")),
             "connect_ms": ms(allowed.get("ConnectTimeout")),
             "keepalive_ms": ms(allowed["Keepalive"]) if allowed.get("Keepalive") else None,
         }
@@ -55,9 +68,15 @@
     """A stream type from its profile. What cannot be understood of its effect is read the cautious way."""
     try:
         return plain.StreamType(
-            slo_ms=ms(row.get("Aim")), max_age_ms=ms(row.get("Deadline")), utility=row.get("Value", 1.0),
-            late_utility=row.get("LateWorth", 0.0), effect=EFFECTS.get(row.get("Effect"), plain.NON_IDEMPOTENT),
-            group=row.get("Group", "cell"), window_ms=ms(row.get("Window")), in_order=bool(row.get("InTurn")))
+            slo_ms=ms(row.get("Aim")),
+            max_age_ms=ms(row.get("Deadline")),
+            utility=row.get("Value", 1.0),
+            late_utility=row.get("LateWorth", 0.0),
+            effect=EFFECTS.get(row.get("Effect"), plain.NON_IDEMPOTENT),
+            group=row.get("Group", "cell"),
+            window_ms=ms(row.get("Window")),
+            in_order=bool(row.get("InTurn")),
+        )
     except (ValueError, AttributeError, TypeError) as fault:
         raise Malformed(f"the settings' Profiles[{number}] cannot be read: {fault}") from None
 
@@ -77,7 +96,13 @@
 
 def names_of(conf):
     """The names by which sockets call what the module knows by number: four maps from name to number."""
+
     def numbered(rows):
         return {name: number for number, name in enumerate(rows or ())}
-    return (numbered(row.get("Name") for row in conf.get("Profiles") or ()), numbered(conf.get("Kinds")),
-            numbered(conf.get("Localities")), numbered(row.get("Name") for row in conf.get("Realms") or ()))
+
+    return (
+        numbered(row.get("Name") for row in conf.get("Profiles") or ()),
+        numbered(conf.get("Kinds")),
+        numbered(conf.get("Localities")),
+        numbered(row.get("Name") for row in conf.get("Realms") or ()),
+    )
--- a/swiftthread/wire/answer.py
+++ b/swiftthread/wire/answer.py
@@ -3,6 +3,7 @@
 An answer may come spoilt: noise, no end, lengths that do not fit. Then it is `Broken` as soon as that is known, and
 what its first line said is kept, for a first line with 200 is true whatever follows it.
 """
+
 import re
 
 import anyio
@@ -10,11 +11,18 @@
 
 from swiftthread.wire.line import Broken
 
-MOST_HEAD = 32 * 1024       # bytes of a first line and headers; no answer of the pages is near it
-MOST_BODY = 64 * 1024       # bytes of a body, the page's; a longer one, or one said to be longer, is spoilt
-MOST_INTERIM = 20           # answers of 1xx before the one that counts
-REST_MS = 200.0             # from an answer's first byte to its last: endpoints write it in one go
-UNREADABLE = (KeyError, ValueError, TypeError, AttributeError, OverflowError, RecursionError)   # of others' JSON
+MOST_HEAD = 32 * 1024  # bytes of a first line and headers; no answer of the pages is near it
+MOST_BODY = 64 * 1024  # bytes of a body, the page's; a longer one, or one said to be longer, is spoilt
+MOST_INTERIM = 20  # answers of 1xx before the one that counts
+REST_MS = 200.0  # from an answer's first byte to its last: endpoints write it in one go
+UNREADABLE = (
+    KeyError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)  # of others' JSON
 FIRST_LINE = re.compile(rb"HTTP/1\.[01] ([2-9]\d\d)(?: [^\r\n]*)?\r?\n")
 
 
@@ -72,8 +80,12 @@
 
     def keeps(self, line):
         """Whether another request may follow on this connection: nothing came beside the answer."""
-        if not self.whole or line.parser.our_state is not h11.DONE or line.parser.their_state is not h11.DONE \
-                or line.parser.trailing_data != (b"", False):
+        if (
+            not self.whole
+            or line.parser.our_state is not h11.DONE
+            or line.parser.their_state is not h11.DONE
+            or line.parser.trailing_data != (b"", False)
+        ):
             return False
         line.parser.start_next_cycle()
         return True
@@ -100,7 +112,7 @@
     """Take in the whole answer. Once that has begun, the patience (a cancel scope) is cut short."""
     full, begun = patience.deadline, False
     while not answer.absorb(line):
-        if answer.begun != begun:       # back to False after an answer of 1xx
+        if answer.begun != begun:  # back to False after an answer of 1xx
             begun = answer.begun
             patience.deadline = min(full, anyio.current_time() + REST_MS / 1000.0) if begun else full
         await line.read()
--- a/swiftthread/wire/courier.py
+++ b/swiftthread/wire/courier.py
@@ -1,4 +1,5 @@
 """Calls to endpoints: one event or several in one, probes, and how each ended in the module's words."""
+
 import base64
 import json
 import math
@@ -11,8 +12,13 @@
 from swiftthread.wire.answer import UNREADABLE, Answer, exchange, parser, receive, request
 from swiftthread.wire.line import Broken, connect
 
-STATES = {"done": plain.ACKED, "failed": plain.ERROR, "busy": plain.FULL, "void": plain.UNSENT,
-          "used_up": plain.UNSENT}
+STATES = {
+    "done": plain.ACKED,
+    "failed": plain.ERROR,
+    "busy": plain.FULL,
+    "void": plain.UNSENT,
+    "used_up": plain.UNSENT,
+}
 OVER = "void"
 
 
@@ -27,9 +33,9 @@
     """What travels in one call: the events' sends, each with the time until which it waits."""
 
     def __init__(self, sink):
-        self.sink, self.sends = sink, {}        # held -> (moment, whether it may not go again after it)
-        self.ends, self.done = {}, {}           # held -> End; held -> the flag that says so
-        self.travel = []        # those that travel in it: not ended when its first byte went
+        self.sink, self.sends = sink, {}  # held -> (moment, whether it may not go again after it)
+        self.ends, self.done = {}, {}  # held -> End; held -> the flag that says so
+        self.travel = []  # those that travel in it: not ended when its first byte went
 
     def waiting(self):
         """Those that have not ended, and until when the call waits for a connection: an event that may go again
@@ -60,15 +66,17 @@
 
     def __init__(self, tasks, lines, buffers, clock, wall, addresses, limits, report_names, leaves_by):
         self.tasks, self.lines, self.buffers, self.clock, self.wall = tasks, lines, buffers, clock, wall
-        self.leaves_by = leaves_by      # the module's: (event, sink, now) -> by when its last byte has left
+        self.leaves_by = leaves_by  # the module's: (event, sink, now) -> by when its last byte has left
         self.addresses, self.limits, self.report_names = addresses, limits, report_names
-        self.letters = {}       # call -> letter; emptied each turn, when they leave
+        self.letters = {}  # call -> letter; emptied each turn, when they leave
 
     async def carry(self, held, send):
         """The end of this send. It leaves at the end of this turn, with those that joined its call."""
         now = self.clock()
         letter = self.letters.setdefault(held.evt.call, Letter(send.sink))
-        letter.add(held, now + send.allow_ms, now + send.allow_ms >= self.leaves_by(held.evt, send.sink, now) - 1.0)
+        letter.add(
+            held, now + send.allow_ms, now + send.allow_ms >= self.leaves_by(held.evt, send.sink, now) - 1.0
+        )
         await letter.done[held].wait()
         return letter.ends[held]
 
@@ -101,13 +109,13 @@
                 outcome = plain.KEPT
         except Broken as fault:
             outcome, refused = plain.RESET if fault.written else plain.UNREACHED, fault.refused
-        except Exception:       # guards the other calls: a fault in one is a reset of this one
+        except Exception:  # guards the other calls: a fault in one is a reset of this one
             logger.exception("a call failed")
             outcome = plain.RESET if line else plain.UNREACHED
         finally:
             self._back(place, line, answer)
         if answer.begun and outcome == plain.TIMEOUT:
-            outcome = plain.RESET       # it did answer, but not to the end
+            outcome = plain.RESET  # it did answer, but not to the end
         latency = 0.0 if refused else self.clock() - started
         if answer.begun or answer.whole:
             latency = self._latency(line, *written)
@@ -123,7 +131,7 @@
                 await line.write(*parts)
                 outcome = plain.TIMEOUT
             if leaves.cancelled_caught:
-                return plain.KEPT       # a call begins with its last byte
+                return plain.KEPT  # a call begins with its last byte
             if await self._arrives(line, answer, patience, by):
                 await receive(line, answer, patience)
         # A node that stood still may find its answer beside the timer that ran out.
@@ -142,7 +150,9 @@
         more end as not sent: the connection may have come up late, or this process may have stood still."""
         now, by = self.clock(), math.inf
         for held in letter.waiting()[0]:
-            at = self.leaves_by(held.evt, letter.sink, now) if self._place(letter.sink) == place else -math.inf
+            at = (
+                self.leaves_by(held.evt, letter.sink, now) if self._place(letter.sink) == place else -math.inf
+            )
             if at > now < letter.sends[held][0]:
                 by = min(by, at)
             else:
@@ -190,13 +200,16 @@
         """Target, headers and body of the call."""
         headers = [("Host", "endpoint"), ("X-Remaining", f"{max(1, int(until - self.clock()))}m")]
         if len(letter.travel) == 1:
-            held, = letter.travel
+            (held,) = letter.travel
             headers.append(("X-Txn", held.ident))
             if held.key:
                 headers.append(("Idempotency-Key", held.key))
             return "/receive", headers, held.body
-        rows = [{"id": held.ident, "body": base64.b64encode(held.body).decode()}
-                | ({"key": held.key} if held.key else {}) for held in letter.travel]
+        rows = [
+            {"id": held.ident, "body": base64.b64encode(held.body).decode()}
+            | ({"key": held.key} if held.key else {})
+            for held in letter.travel
+        ]
         return "/receive-many", [*headers, ("Content-Type", "application/json")], json.dumps(rows).encode()
 
     def _read(self, letter, answer, outcome, latency, fresh, came_at):
@@ -205,18 +218,23 @@
         status, over, states = answer.status, False, {}
         told, report = _told(answer.headers), self._report(answer.headers)
         if answer.first == 200 and len(letter.travel) == 1:
-            outcome = plain.ACKED       # whatever follows its first line
+            outcome = plain.ACKED  # whatever follows its first line
         elif status == 200:
             states = _states(answer)
-            outcome = outcome if not answer.whole else plain.RESET      # for one that the answer leaves out
+            outcome = outcome if not answer.whole else plain.RESET  # for one that the answer leaves out
         elif answer.whole and answer.noisy:
-            outcome = plain.RESET       # of a wrong length, perhaps, and then it may have run
+            outcome = plain.RESET  # of a wrong length, perhaps, and then it may have run
         elif answer.whole:
             over = status == 410
             if status in (400, 410, 413, 504) or status == 503 and answer.headers.get("x-egress-full") == "1":
                 outcome = plain.UNSENT
-            elif status == 503 and fresh and not told and answer.headers.get("connection", "").lower() == "close":
-                outcome = plain.TABLE_FULL     # it is not the event that is turned away, it is the connection
+            elif (
+                status == 503
+                and fresh
+                and not told
+                and answer.headers.get("connection", "").lower() == "close"
+            ):
+                outcome = plain.TABLE_FULL  # it is not the event that is turned away, it is the connection
             else:
                 outcome = plain.FULL if status in (429, 503) else plain.ERROR
         for held in letter.sends:
@@ -244,12 +262,14 @@
                 await exchange(line, "GET", target, [("Host", "endpoint")], b"", answer, patience)
         except Broken:
             outcome = plain.UNREACHED
-        except Exception:       # guards the node: a fault in a probe is one without an answer
+        except Exception:  # guards the node: a fault in a probe is one without an answer
             logger.exception("a probe failed")
         finally:
             self._back(place, line, answer)
-        if answer.first is not None and self._place(sink) == place:     # else it was another's answer
-            outcome = plain.ACKED if answer.first == 200 else plain.FULL if answer.first == 503 else plain.ERROR
+        if answer.first is not None and self._place(sink) == place:  # else it was another's answer
+            outcome = (
+                plain.ACKED if answer.first == 200 else plain.FULL if answer.first == 503 else plain.ERROR
+            )
         return End(outcome, self.clock() - started, report=self._report(answer.headers))
 
     def close_idle(self, sink):
--- a/swiftthread/wire/door.py
+++ b/swiftthread/wire/door.py
@@ -1,4 +1,5 @@
 """What clients speak: an event handed in, and its answer."""
+
 import math
 import re
 import zlib
@@ -12,21 +13,33 @@
 from swiftthread.store.ledger import Held
 from swiftthread.wire.line import Broken, Line
 
-MOST_BODY = 64 * 1024               # bytes, the page's
-MOST_HEAD = 16 * 1024               # bytes of a request's line and headers
-FINISH_MS = 3000.0                  # for the rest of a bad request, which is read and dropped; 60 MB on loopback
-LINGER_MS = 500.0                   # for a client to close too, once we have; over the 0.4 s that it waits for an answer
-END_S = 0.2                         # s for all of that at the end of a stop; the SIGKILL comes 0.3 s after it at the soonest
-SILENT_S, ASKING_S = 0.25, 0.45     # s that a connection is left alone without a request, and in one: a client
+MOST_BODY = 64 * 1024  # bytes, the page's
+MOST_HEAD = 16 * 1024  # bytes of a request's line and headers
+FINISH_MS = 3000.0  # for the rest of a bad request, which is read and dropped; 60 MB on loopback
+LINGER_MS = 500.0  # for a client to close too, once we have; over the 0.4 s that it waits for an answer
+END_S = 0.2  # s for all of that at the end of a stop; the SIGKILL comes 0.3 s after it at the soonest
+SILENT_S, ASKING_S = 0.25, 0.45  # s that a connection is left alone without a request, and in one: a client
 #                                     waits 0.4 s for its answer, its connect counted in
-ACCEPT_PAUSE_S = 0.05               # s after a client that could not be accepted: no descriptor is free, most often
-LATE_S, GIVES_UP_S = 0.15, 0.35     # s outside: from here the latest come first; from here a closed one has given up
+ACCEPT_PAUSE_S = 0.05  # s after a client that could not be accepted: no descriptor is free, most often
+LATE_S, GIVES_UP_S = (
+    0.15,
+    0.35,
+)  # s outside: from here the latest come first; from here a closed one has given up
 ONCE = (b"x-txn", b"x-lane", b"x-remaining", b"x-route-to", b"idempotency-key", b"x-org", b"x-entity")
 REMAINING = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)([mu])")
 DEST = re.compile(r"(?:^|[;,\s])dest=(\d{1,9})(?:$|[;,\s])")
 TOKEN = re.compile(r"[!-~]{1,200}")
-REASONS = {200: b"OK", 202: b"Accepted", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
-           413: b"Content Too Large", 431: b"Headers Too Large", 503: b"Service Unavailable"}
+REASONS = {
+    200: b"OK",
+    202: b"Accepted",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    431: b"Headers Too Large",
+    503: b"Service Unavailable",
+}
 
 
 class Bad(Exception):
@@ -49,13 +62,19 @@
 
     def __init__(self, take, streams, buffers, limits, wall, first_ms, request_ms, idle_ms, intake, ring):
         self.take, self.streams, self.buffers = take, streams, buffers
-        self.limits, self.wall, self.first, self.request, self.idle = limits, wall, first_ms, request_ms, idle_ms
+        self.limits, self.wall, self.first, self.request, self.idle = (
+            limits,
+            wall,
+            first_ms,
+            request_ms,
+            idle_ms,
+        )
         # Connections -> since when, by what they do, the longest in front; emptied as they close. `leaving`: our side is
         # shut down, or about to be; what still comes is read and dropped. `silent`: nothing came yet. `asking`: in a
         # request. Between requests: `strangers` have handed in nothing yet (they asked after the node's health, say),
         # `clients` have.
         self.leaving, self.silent, self.asking, self.strangers, self.clients = self.rooms = {}, {}, {}, {}, {}
-        self.closing = False    # then each answer closes its connection
+        self.closing = False  # then each answer closes its connection
         # `ring` asks for a turn, in which `let_in` is called. Connections whose request waits to be read, oldest first.
         self.intake, self.ring, self.outside = intake, ring, deque()
 
@@ -65,7 +84,9 @@
             try:
                 await self._room()
                 self._accept(listener, tasks)
-                await checkpoint()      # what it has sent is read before others are let in, and maybe it is let go
+                await (
+                    checkpoint()
+                )  # what it has sent is read before others are let in, and maybe it is let go
                 continue
             except BlockingIOError:
                 try:
@@ -77,13 +98,15 @@
                 if listener.fileno() < 0:
                     return
                 logger.warning("a client could not be accepted: {}", fault.strerror)
-            except Exception:       # guards those that are connected: the next is accepted all the same
+            except Exception:  # guards those that are connected: the next is accepted all the same
                 logger.exception("a client could not be accepted")
             await anyio.sleep(ACCEPT_PAUSE_S)
 
     def _accept(self, listener, tasks):
         sock, _ = listener.accept()
-        line = Line(sock, self.buffers, h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)).stamp()
+        line = Line(
+            sock, self.buffers, h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        ).stamp()
         self.silent[line] = anyio.current_time()
         tasks.start_soon(self._client, line)
 
@@ -142,13 +165,13 @@
             while True:
                 self._accept(listener, tasks)
         except OSError:
-            pass                # none is left
+            pass  # none is left
         anyio.notify_closing(listener)
         listener.close()
         with anyio.move_on_after(END_S):
             while any(self.rooms):
                 self._let_rest_go(math.inf)
-                self.ring()         # who waits outside is let in by a turn
+                self.ring()  # who waits outside is let in by a turn
                 await anyio.sleep(0.005)
 
     def _leave(self, line):
@@ -189,7 +212,7 @@
                 try:
                     await self._answer(line, status, ends, back_ms)
                 finally:
-                    if then is not None:        # it is taken, also when its client is gone
+                    if then is not None:  # it is taken, also when its client is gone
                         then()
                 if ends or line.parser.our_state is not h11.DONE or line.parser.their_state is not h11.DONE:
                     self._to(self.leaving, line)
@@ -197,12 +220,12 @@
                     return
                 line.parser.start_next_cycle()
                 self._to(room, line)
-                await checkpoint()      # many requests sent at once on one connection take turns with the others
-        except Broken:      # gone, silent, or let go by us between requests
+                await checkpoint()  # many requests sent at once on one connection take turns with the others
+        except Broken:  # gone, silent, or let go by us between requests
             if line not in self.asking and any(line in room for room in self.rooms):
                 self._to(self.leaving, line)
                 await line.finish(LINGER_MS)
-        except Exception:   # guards the other clients: a fault here ends this connection alone
+        except Exception:  # guards the other clients: a fault here ends this connection alone
             logger.exception("a client's connection failed")
         finally:
             self._shut(line)
@@ -244,7 +267,7 @@
         with anyio.move_on_after((self.first if first else self.idle) / 1000.0) as patience:
             while True:
                 if line not in self.asking and line.parser.trailing_data[0]:
-                    self._to(self.asking, line)         # it has begun
+                    self._to(self.asking, line)  # it has begun
                     came_at = line.came_at
                     until = anyio.current_time() + self.request / 1000.0
                     patience.deadline = min(until, patience.deadline) if first else until
@@ -254,7 +277,9 @@
                     raise Bad(fault.error_status_hint) from None
                 if part is h11.NEED_DATA:
                     if line.parser.they_are_waiting_for_100_continue:
-                        await line.write(line.parser.send(h11.InformationalResponse(status_code=100, headers=[])))
+                        await line.write(
+                            line.parser.send(h11.InformationalResponse(status_code=100, headers=[]))
+                        )
                     await line.comes()
                     if line not in self.asking:
                         await self._let_in(line)
@@ -274,7 +299,7 @@
             raise Bad(408)
         if line.fresh() or not line.read_now():
             raise Broken(True)
-        return await self._request(line, first)     # it crossed the end of our patience
+        return await self._request(line, first)  # it crossed the end of our patience
 
     @staticmethod
     def _check(request):
@@ -283,7 +308,11 @@
         length = max([int(value) for name, value in request.headers if name == b"content-length"], default=0)
         if length > MOST_BODY:
             raise Bad(413)
-        if b"content-length" in names and b"transfer-encoding" in names or any(names.count(n) > 1 for n in ONCE):
+        if (
+            b"content-length" in names
+            and b"transfer-encoding" in names
+            or any(names.count(n) > 1 for n in ONCE)
+        ):
             raise Bad(400)
 
     def _handed_in(self, request, body, came_at):
@@ -297,17 +326,32 @@
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in request.headers}
         stream, _, subject = path.lstrip("/").partition("/")
         ident, key = headers.get("x-txn", ""), headers.get("idempotency-key", "")
-        left, dest = REMAINING.fullmatch(headers.get("x-remaining", "")), DEST.search(headers.get("x-route-to", ""))
+        left, dest = (
+            REMAINING.fullmatch(headers.get("x-remaining", "")),
+            DEST.search(headers.get("x-route-to", "")),
+        )
         if stream not in self.streams:
             raise Bad(404)
-        if headers.get("x-lane", stream) != stream or not TOKEN.fullmatch(ident) or not (left and dest) \
-                or key and not TOKEN.fullmatch(key):
+        if (
+            headers.get("x-lane", stream) != stream
+            or not TOKEN.fullmatch(ident)
+            or not (left and dest)
+            or key
+            and not TOKEN.fullmatch(key)
+        ):
             raise Bad(400)
         left_ms = float(left[1]) / (1.0 if left[2] == "m" else 1000.0)
         subject = subject or headers.get("x-entity", "")
-        held = Held(ident, key, stream, int(dest[1]), came_at + left_ms,
-                    headers.get("x-org"),
-                    zlib.crc32(subject.encode("latin-1")) + 1 if subject else 0, body)
+        held = Held(
+            ident,
+            key,
+            stream,
+            int(dest[1]),
+            came_at + left_ms,
+            headers.get("x-org"),
+            zlib.crc32(subject.encode("latin-1")) + 1 if subject else 0,
+            body,
+        )
         status, then, back_ms = self.take(held)
         if status in (400, 409):
             raise Bad(status)
--- a/swiftthread/wire/line.py
+++ b/swiftthread/wire/line.py
@@ -1,4 +1,5 @@
 """One TCP connection, without a library's buffers between it and us: what was written is known to the byte."""
+
 import errno
 import fcntl
 import math
@@ -8,14 +9,14 @@
 
 import anyio
 
-DROPPED_AT_ONCE = 64        # reads of one buffer, 1 MiB in all, before others have their turn
+DROPPED_AT_ONCE = 64  # reads of one buffer, 1 MiB in all, before others have their turn
 
 
-STAMP = getattr(socket, "SO_TIMESTAMPNS", 35)   # Linux: the kernel says when bytes came, as CLOCK_REALTIME
-LEFT = (7, 8)       # Linux, tcp_info: CLOSE, CLOSE_WAIT
-STAMPED = struct.Struct("ll")                   # s, ns
+STAMP = getattr(socket, "SO_TIMESTAMPNS", 35)  # Linux: the kernel says when bytes came, as CLOCK_REALTIME
+LEFT = (7, 8)  # Linux, tcp_info: CLOSE, CLOSE_WAIT
+STAMPED = struct.Struct("ll")  # s, ns
 STAMP_ROOM = socket.CMSG_SPACE(STAMPED.size)
-AT_ONCE = struct.pack("ii", 1, 0)               # linger: on, 0 s; what has not arrived by the close never will
+AT_ONCE = struct.pack("ii", 1, 0)  # linger: on, 0 s; what has not arrived by the close never will
 COUNT = struct.Struct("i")
 
 
@@ -36,14 +37,14 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock, self.buffers, self.parser = sock, buffers, parser
         self.idle_since = None  # None: it never idled, so its call is the first on it
-        self.came_at = None     # Unix ms at which the kernel had the bytes read last; None: it does not say
+        self.came_at = None  # Unix ms at which the kernel had the bytes read last; None: it does not say
 
     def stamp(self):
         """From now on the kernel notes when bytes come: what we read late is told from what came late."""
         try:
             self.sock.setsockopt(socket.SOL_SOCKET, STAMP, 1)
         except OSError:
-            pass                # then lateness of ours counts as the other side's, as before
+            pass  # then lateness of ours counts as the other side's, as before
         return self
 
     async def write(self, *parts):
@@ -51,7 +52,7 @@
         left = memoryview(b"".join(parts))
         while left:
             try:
-                left = left[self.sock.send(left):]
+                left = left[self.sock.send(left) :]
             except BlockingIOError:
                 await self._when(anyio.wait_writable)
             except OSError:
@@ -69,7 +70,7 @@
                 self.parser.receive_data(bytes(buffer[:size]))
         except BlockingIOError:
             return False
-        except (OSError, RuntimeError):     # the latter: the parser was told of the end before
+        except (OSError, RuntimeError):  # the latter: the parser was told of the end before
             raise Broken(True) from None
         return True
 
@@ -92,14 +93,14 @@
         try:
             await can(self.sock)
         except (anyio.ClosedResourceError, OSError, ValueError):
-            raise Broken(True) from None    # closed here while this task waited
+            raise Broken(True) from None  # closed here while this task waited
 
     def shut_down(self):
         """End our side. Whoever waits to read is woken, and finds it broken."""
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
-            pass                # the other side has closed or reset it
+            pass  # the other side has closed or reset it
         anyio.notify_closing(self.sock)
 
     async def finish(self, most_ms):
@@ -146,7 +147,7 @@
         try:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, AT_ONCE)
         except OSError:
-            pass                # it is over, or the kernel closes in its own way
+            pass  # it is over, or the kernel closes in its own way
         self.close()
 
     def arrived(self):
@@ -161,7 +162,7 @@
     """A connection to (host, port); Broken when it is refused, or never comes up within our patience."""
     try:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    except OSError:     # no descriptor is free
+    except OSError:  # no descriptor is free
         raise Broken(False) from None
     try:
         sock.setblocking(False)
@@ -198,7 +199,7 @@
 
 
 def address_of(text):
-    """"10.0.0.4:9000" as (host, port); ValueError when it is no such thing."""
+    """ "10.0.0.4:9000" as (host, port); ValueError when it is no such thing."""
     host, _, port = str(text).rpartition(":")
     if not host or not 0 < int(port) < 65536:
         raise ValueError(f"no address: {text!r}")
--- a/swiftthread/wire/notices.py
+++ b/swiftthread/wire/notices.py
@@ -1,4 +1,5 @@
 """Notices to the platform: one line for each event that ends undelivered, repeated until it is answered 204."""
+
 import json
 
 import anyio
@@ -7,7 +8,7 @@
 from swiftthread.wire.answer import Answer, exchange, parser
 from swiftthread.wire.line import Broken, connect
 
-AT_ONCE = 200       # lines in one body: well inside 64 KiB
+AT_ONCE = 200  # lines in one body: well inside 64 KiB
 
 
 class Notices:
@@ -15,7 +16,7 @@
 
     def __init__(self, address, buffers, answer_ms, pause_ms):
         self.address, self.buffers, self.answer, self.pause = address, buffers, answer_ms, pause_ms
-        self.waiting = {}       # event id -> (line, flag); emptied as notices are answered
+        self.waiting = {}  # event id -> (line, flag); emptied as notices are answered
         self.bell, self.posting = anyio.Event(), anyio.CancelScope()
         self.line, self.line_to = None, None
 
@@ -61,10 +62,12 @@
             with anyio.move_on_after(self.answer / 1000.0) as self.posting:
                 if self.line is None:
                     self.line, self.line_to = await connect(address, self.buffers, parser()), address
-                await exchange(self.line, "POST", "/status", [("Host", "discovery")], body, answer, self.posting)
+                await exchange(
+                    self.line, "POST", "/status", [("Host", "discovery")], body, answer, self.posting
+                )
         except Broken:
             pass
-        except Exception:       # guards the node: it is told again, on another connection
+        except Exception:  # guards the node: it is told again, on another connection
             logger.exception("notices failed")
             answer = Answer()
         if self.line is not None and not answer.keeps(self.line):
--- a/swiftthread/wire/registry.py
+++ b/swiftthread/wire/registry.py
@@ -1,4 +1,5 @@
 """Discovery: the list of endpoints, by a watch that is opened anew when it ends or falls silent."""
+
 import json
 import zlib
 from collections import deque
@@ -10,9 +11,9 @@
 from swiftthread.wire.answer import UNREADABLE, parser, request
 from swiftthread.wire.line import Broken, address_of, connect
 
-MOST_LIST = 4 * 1024 * 1024     # bytes: far over the list of any fleet of the pages
-MOST_DOUBTFUL = 2               # lists in a row with an unreadable entry after which it is lived with
-UNNAMED = 1 << 16               # from here on: numbers of zones, and of a kind, that the settings do not name
+MOST_LIST = 4 * 1024 * 1024  # bytes: far over the list of any fleet of the pages
+MOST_DOUBTFUL = 2  # lists in a row with an unreadable entry after which it is lived with
+UNNAMED = 1 << 16  # from here on: numbers of zones, and of a kind, that the settings do not name
 READY, GONE = "SERVING", "DELETED"
 
 
@@ -22,11 +23,11 @@
     def __init__(self, address, buffers, kinds, zones, quiet_ms, connect_ms):
         self.address, self.buffers, self.kinds, self.zones = address, buffers, kinds, zones
         self.quiet, self.connect = quiet_ms, connect_ms
-        self.version, self.addresses = 0, {}        # endpoint id -> (host, port); emptied as endpoints go
-        self.known = {}         # endpoint id -> its entry as last read; emptied as endpoints go
+        self.version, self.addresses = 0, {}  # endpoint id -> (host, port); emptied as endpoints go
+        self.known = {}  # endpoint id -> its entry as last read; emptied as endpoints go
         self.watching = anyio.CancelScope()
-        self.doubtful = 0       # so many lists in a row held an entry that could not be read
-        self.foreign = {}       # zone name, or endpoint without one, that the settings don't know -> its number;
+        self.doubtful = 0  # so many lists in a row held an entry that could not be read
+        self.foreign = {}  # zone name, or endpoint without one, that the settings don't know -> its number;
         #                         emptied with each whole list
 
     def move(self, address):
@@ -63,8 +64,14 @@
         if not isinstance(ident, str):
             raise ValueError("the id is no text")
         address = None if state == GONE else address_of(row["addr"])
-        entry = (ident, int(row["cell"]), self._zone(ident, row.get("zone")), self._kind(ident, row.get("kind")),
-                 float(row.get("weight") or 0.0), state == READY)
+        entry = (
+            ident,
+            int(row["cell"]),
+            self._zone(ident, row.get("zone")),
+            self._kind(ident, row.get("kind")),
+            float(row.get("weight") or 0.0),
+            state == READY,
+        )
         if state == GONE:
             for table in (self.known, self.addresses, self.foreign):
                 table.pop(ident, None)
@@ -76,7 +83,9 @@
         """The kind's number; one that is no kind's where the settings don't name it, so that it has nothing of
         another's: one event a call, no route of its own."""
         if not (isinstance(name, str) and name in self.kinds):
-            logger.warning("endpoint {}: kind {!r} is none of the settings'; it gets one event a call", ident, name)
+            logger.warning(
+                "endpoint {}: kind {!r} is none of the settings'; it gets one event a call", ident, name
+            )
             return UNNAMED
         return self.kinds[name]
 
@@ -88,7 +97,11 @@
         named = isinstance(name, str) and name
         if (said := name if named else ident) not in self.foreign:
             self.foreign[said] = UNNAMED + zlib.crc32(repr((bool(named), said)).encode())
-            logger.warning("endpoint {}: zone {!r} is none of the settings'; it is held apart from all others", ident, name)
+            logger.warning(
+                "endpoint {}: zone {!r} is none of the settings'; it is held apart from all others",
+                ident,
+                name,
+            )
         return self.foreign[said]
 
     async def watch(self, told):
@@ -106,8 +119,12 @@
             await line.write(*request(line, "GET", target, [("Host", "discovery")]))
             rows, lists = Rows(line), Lists()
             while True:
-                with anyio.fail_after(self.quiet / 1000.0):     # bytes without an end are silence, too
-                    while (row := await rows.next()) is not None and (page := lists.add(row)) is None and lists.begun:
+                with anyio.fail_after(self.quiet / 1000.0):  # bytes without an end are silence, too
+                    while (
+                        (row := await rows.next()) is not None
+                        and (page := lists.add(row)) is None
+                        and lists.begun
+                    ):
                         pass
                 if row is None:
                     return
@@ -115,13 +132,13 @@
                     found, whole = self.entries(page)
                     await told(found, whole)
                     if 0 < self.doubtful <= MOST_DOUBTFUL:
-                        raise ValueError("an entry is unknown")     # the whole list, asked for anew, may say it
+                        raise ValueError("an entry is unknown")  # the whole list, asked for anew, may say it
         except (Broken, TimeoutError):
             logger.info("the watch ended")
         except UNREADABLE as fault:
-            self.version = 0        # what was missed is unknown: the whole list is asked for
+            self.version = 0  # what was missed is unknown: the whole list is asked for
             logger.warning("the watch cannot be read ({}); the whole list is asked for", fault)
-        except Exception:       # guards the node: the whole list is asked for on another connection
+        except Exception:  # guards the node: the whole list is asked for on another connection
             self.version = 0
             logger.exception("the watch failed")
         finally:
@@ -129,7 +146,6 @@
                 line.close()
 
 
-
 class Rows:
     """The lines of a watch's body, as they come."""
 
@@ -191,12 +207,12 @@
         if len(self.text) > MOST_LIST:
             raise ValueError("a list is too long")
         if not row.rstrip().endswith(b"}"):
-            return None                 # no object ends here
+            return None  # no object ends here
         try:
             page = json.loads(self.text)
         except json.JSONDecodeError as fault:
             if fault.pos < len(fault.doc.rstrip()):
-                raise                   # not for want of more
+                raise  # not for want of more
             return None
         self.text.clear()
         return page
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 A line is `test, cause, issue`, the test as pytest names it. Three at most; each has to be there, and to fail.
 """
+
 from pathlib import Path
 
 import pytest
@@ -19,7 +20,9 @@
         test, _, rest = line.partition(", ")
         cause, _, issue = rest.rpartition(", ")
         if not (test.strip() and cause.strip() and issue.strip()) or test in rows:
-            raise pytest.UsageError(f"{NAME}:{number}: wanted is `test, cause, issue`, each test once: {line!r}")
+            raise pytest.UsageError(
+                f"{NAME}:{number}: wanted is `test, cause, issue`, each test once: {line!r}"
+            )
         rows[test] = cause, issue
     if len(rows) > MOST:
         raise pytest.UsageError(f"{NAME}: {len(rows)} tests, {MOST} at most")
