--- a/tests/effects.py
+++ b/tests/effects.py
@@ -1,11 +1,13 @@
 """A referee of "no effect twice" over all that receivers saw: sends, effects by key, and what the platform was told."""
+
 from typing import NamedTuple
 
-SLACK_S = 0.05      # the protocol page's: every time limit on sockets is longer by this
+SLACK_S = 0.05  # the protocol page's: every time limit on sockets is longer by this
 
 
 class Seen(NamedTuple):
     """A call at a receiver. `at`: Unix s at which its last byte had come; `ran`: False if it surely had no effect."""
+
     at: float
     ident: str
     key: str
@@ -15,8 +17,9 @@
 
 class Rules(NamedTuple):
     """What holds for a stream type. `group`: None where repeats are known nowhere."""
-    once: bool                  # its effect may happen only once
-    group: str | None = None    # "zone" or "all"
+
+    once: bool  # its effect may happen only once
+    group: str | None = None  # "zone" or "all"
     window_s: float = 0.0
 
 
@@ -34,9 +37,13 @@
         if before and rule.group is None:
             found.append(f"{call.at:.3f} {call.ident} was sent again, and may have run at {before.at:.3f}")
         elif before and rule.group == "zone" and call.zone != before.zone:
-            found.append(f"{call.at:.3f} {call.ident} was sent to zone {call.zone}, and may have run in {before.zone}")
+            found.append(
+                f"{call.at:.3f} {call.ident} was sent to zone {call.zone}, and may have run in {before.zone}"
+            )
         elif before and call.at > before.at + rule.window_s + SLACK_S:
-            found.append(f"{call.at:.3f} {call.ident} was sent {call.at - before.at:.3f} s after a send that may have run")
+            found.append(
+                f"{call.at:.3f} {call.ident} was sent {call.at - before.at:.3f} s after a send that may have run"
+            )
         if call.ran:
             first.setdefault(call.ident, call)
             _effect(found, effects, rule, call)
@@ -48,8 +55,11 @@
 
 def _effect(found, effects, rule, call):
     """What the receiver does of it: a repeat that its group knows has no effect. Two of one key are too many."""
-    known = [at for at, zone in effects.get(call.key, ())
-             if rule.group == "all" or rule.group == "zone" and zone == call.zone]
+    known = [
+        at
+        for at, zone in effects.get(call.key, ())
+        if rule.group == "all" or rule.group == "zone" and zone == call.zone
+    ]
     if any(call.at <= at + rule.window_s + SLACK_S for at in known):
         return
     if effects.setdefault(call.key, []):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,18 +1,23 @@
 """Many instances of the decisions against shared stand-ins, on one clock: what each does alone, added up."""
+
 import heapq
 import random
 from itertools import count
 
 from helpers import Run
 
-CALL_MS, IDLE_MS = 100.0, 4000.0    # ms: an endpoint's answer; a node's connection idles so long at most
+CALL_MS, IDLE_MS = 100.0, 4000.0  # ms: an endpoint's answer; a node's connection idles so long at most
 
 
 class Table:
     """An endpoint that holds only so many connections: a call needs its instance's idle one, or a free place."""
 
     def __init__(self, places):
-        self.places, self.open, self.calls = places, {}, []     # member -> idle from, until; (moment, member, served)
+        self.places, self.open, self.calls = (
+            places,
+            {},
+            [],
+        )  # member -> idle from, until; (moment, member, served)
 
     def answer(self, member, now):
         self.open = {of: span for of, span in self.open.items() if span[1] > now}
@@ -34,14 +39,16 @@
 
     def __init__(self, fleet, number, sinks, endpoints, terms):
         self.fleet, self.number, self.endpoints = fleet, number, endpoints
-        super().__init__(sinks, lambda ticket, sink, now: endpoints[sink].answer(number, now), position=number, **terms)
+        super().__init__(
+            sinks, lambda ticket, sink, now: endpoints[sink].answer(number, now), position=number, **terms
+        )
         self.inst.node.spread = random.Random(number).uniform
 
     def at(self, moment, act, *args):
         heapq.heappush(self.fleet.todo, (moment, next(self.fleet.turn), self, act, args))
 
     def over(self, ticket, sink, outcome, delay, told=0.0):
-        if outcome != "table full":         # known to sockets alone; the drill's wire has no word for it
+        if outcome != "table full":  # known to sockets alone; the drill's wire has no word for it
             return super().over(ticket, sink, outcome, delay, told)
         evt = self.inst.out.pop(ticket)
         self.inst.answer(evt, self.inst.node.after(evt, outcome, self.now, delay), self.now, self)
@@ -56,7 +63,9 @@
 
     def __init__(self, size, sinks, endpoints, **terms):
         self.todo, self.turn = [], count()
-        self.members = [Member(self, number, sinks, endpoints, {"nodes": size} | terms) for number in range(size)]
+        self.members = [
+            Member(self, number, sinks, endpoints, {"nodes": size} | terms) for number in range(size)
+        ]
 
     def load(self, seed, rate, begin, end):
         """Events by chance, so many a second in the mean, each at any instance."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,6 +3,7 @@
 `Run` keeps a printed trace of decisions. A trace lives in tests/traces/ and is read by people. After a wanted change
 of behaviour, run the tests with WRITE_TRACES=1 once, then read the difference before it is committed.
 """
+
 import heapq
 import json
 import os
@@ -25,7 +26,15 @@
 from swiftthread.wire.line import STAMP, STAMP_ROOM, STAMPED
 
 TRACES = Path(__file__).parent / "traces"
-CODES = {"acked": 200, "error": 502, "full": 429, "timeout": 408, "unreached": 521, "reset": 520, "unsent": 409}
+CODES = {
+    "acked": 200,
+    "error": 502,
+    "full": 429,
+    "timeout": 408,
+    "unreached": 521,
+    "reset": 520,
+    "unsent": 409,
+}
 IDEMPOTENT = StreamType(1500.0, 10000.0, effect="idempotent")
 DEDUPLICATED = StreamType(3000.0, 16000.0, effect="deduplicated", window_ms=6000.0, late_utility=0.5)
 NON_IDEMPOTENT = StreamType(3000.0, 16000.0)
@@ -36,8 +45,13 @@
     (delay, outcome[, told wait]); None is silence until the time-out."""
 
     def __init__(self, sinks, answers=lambda ticket, sink, now: (100.0, "acked"), **terms):
-        terms = {"streams": [IDEMPOTENT], "listed_rates": "nominal", "fall_multiple": 2.0, "cold_from": 0.2,
-                 "warm_up_ms": 8000.0} | terms
+        terms = {
+            "streams": [IDEMPOTENT],
+            "listed_rates": "nominal",
+            "fall_multiple": 2.0,
+            "cold_from": 0.2,
+            "warm_up_ms": 8000.0,
+        } | terms
         self.inst, self.answers, self.lines = Instance(1, 7, terms, ["x0", "x1"]), answers, []
         self.now, self.todo, self.turn = 0.0, [], count()
         self.at(0.0, self.list, sinks, True)
@@ -115,6 +129,7 @@
 
 # Stand-ins on loopback, for a program that is started.
 
+
 class Speaker:
     """An HTTP/1.1 server of threads. `answer(method, target, headers, body)` gives (status, headers, body), or
     None for silence, "reset" for a reset after the last byte, or bytes to write as they are."""
@@ -122,10 +137,12 @@
     def __init__(self, answer, idle_s=None):
         self.answer, self.idle_s, self.accepted, self.conns = answer, idle_s, 0, []
         self.listener = socket.create_server(("127.0.0.1", 0))
-        self.listener.setsockopt(socket.SOL_SOCKET, STAMP, 1)       # whom it accepts has it too
-        self.came = threading.local()       # `at`: Unix s at which the kernel had the last byte of the request answered
+        self.listener.setsockopt(socket.SOL_SOCKET, STAMP, 1)  # whom it accepts has it too
+        self.came = (
+            threading.local()
+        )  # `at`: Unix s at which the kernel had the last byte of the request answered
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        self.gate = threading.Event()       # while it is not set nobody is accepted
+        self.gate = threading.Event()  # while it is not set nobody is accepted
         self.gate.set()
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -176,7 +193,7 @@
         said = self.answer(request.method.decode(), request.target.decode(), headers, body)
         if said is None:
             conn.settimeout(30)
-            conn.recv(1)            # until the other side gives up
+            conn.recv(1)  # until the other side gives up
         elif said == "reset":
             conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         elif isinstance(said, bytes):
@@ -186,14 +203,17 @@
         else:
             status, head, text = said
             head = [*head, ("Content-Length", str(len(text)))]
-            conn.sendall(parser.send(h11.Response(status_code=status, headers=head)) + parser.send(h11.Data(data=text))
-                         + parser.send(h11.EndOfMessage()))
+            conn.sendall(
+                parser.send(h11.Response(status_code=status, headers=head))
+                + parser.send(h11.Data(data=text))
+                + parser.send(h11.EndOfMessage())
+            )
             return True
         return False
 
     def cut(self):
         """Reset the connections, and take no more."""
-        self.listener.shutdown(socket.SHUT_RDWR)     # a close alone leaves a blocked accept to take one more
+        self.listener.shutdown(socket.SHUT_RDWR)  # a close alone leaves a blocked accept to take one more
         self.listener.close()
         for conn in self.conns:
             try:
@@ -207,11 +227,25 @@
 
     def __init__(self, *script, ident="s-1", cell=1, **more):
         super().__init__(self._call, **more)
-        self.ident, self.cell, self.script, self.calls, self.probes = ident, cell, list(script) or [200], [], 0
+        self.ident, self.cell, self.script, self.calls, self.probes = (
+            ident,
+            cell,
+            list(script) or [200],
+            [],
+            0,
+        )
 
     def entry(self, state="SERVING", weight=0.0):
-        return {"id": self.ident, "addr": self.address, "zone": "east", "kind": "plain", "cell": self.cell,
-                "state": state, "weight": weight, "started_ms": 0}
+        return {
+            "id": self.ident,
+            "addr": self.address,
+            "zone": "east",
+            "kind": "plain",
+            "cell": self.cell,
+            "state": state,
+            "weight": weight,
+            "started_ms": 0,
+        }
 
     def _call(self, method, target, headers, body):
         if method == "GET":
@@ -294,7 +328,7 @@
             try:
                 self._line(conn, json.dumps(self.page))
             except OSError:
-                pass            # a watch that the node has left
+                pass  # a watch that the node has left
 
     def lose_watches(self):
         watches, self.watches = self.watches, []
@@ -308,15 +342,35 @@
 
 class Program:
     """`python -m swiftthread` with its folder, and its discovery."""
-    SETTINGS = {"Balancers": 1, "Position": 0, "Kinds": ["plain"], "Localities": ["east", "west"], "Weights": "off",
-                "Realms": [],
-                "Period": 0.005, "Discovery": "push", "Stats": {"Fields": [], "How": "off"},
-                "Domain": {"CallsOut": 8, "KindBatch": [1], "RoutesApart": [False], "Carriage": [0.0, 0.0]},
-                "Obligations": {"FallMultiple": 2.0, "ColdFrom": 0.2, "WarmUp": 2.0, "KeyRest": 0.3},
-                "Permissions": {"TryLimit": 6, "MaxOpen": 50, "Keepalive": 5.0, "ConnectTimeout": 0.5, "Probes": True,
-                                "RetryAfter": True, "MaxRetryAfter": 3.0},
-                "Profiles": [lane("notice", "retryable"), lane("posting", "dedup", Window=3.0),
-                             lane("once", "fragile"), lane("turn", "retryable", InTurn=True)]}
+
+    SETTINGS = {
+        "Balancers": 1,
+        "Position": 0,
+        "Kinds": ["plain"],
+        "Localities": ["east", "west"],
+        "Weights": "off",
+        "Realms": [],
+        "Period": 0.005,
+        "Discovery": "push",
+        "Stats": {"Fields": [], "How": "off"},
+        "Domain": {"CallsOut": 8, "KindBatch": [1], "RoutesApart": [False], "Carriage": [0.0, 0.0]},
+        "Obligations": {"FallMultiple": 2.0, "ColdFrom": 0.2, "WarmUp": 2.0, "KeyRest": 0.3},
+        "Permissions": {
+            "TryLimit": 6,
+            "MaxOpen": 50,
+            "Keepalive": 5.0,
+            "ConnectTimeout": 0.5,
+            "Probes": True,
+            "RetryAfter": True,
+            "MaxRetryAfter": 3.0,
+        },
+        "Profiles": [
+            lane("notice", "retryable"),
+            lane("posting", "dedup", Window=3.0),
+            lane("once", "fragile"),
+            lane("turn", "retryable", InTurn=True),
+        ],
+    }
 
     def __init__(self, folder, *endpoints, known=True, limits=(), environ=None, **settings):
         self.folder, self.discovery = folder, Discovery(*[endpoint.entry() for endpoint in endpoints])
@@ -324,17 +378,25 @@
             self.port = free.getsockname()[1]
         self.state = folder / "state"
         self.state.mkdir(exist_ok=True)
-        merged = {name: value | settings.get(name, {}) if isinstance(value, dict) else settings.get(name, value)
-                  for name, value in self.SETTINGS.items()}
-        conf = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": self.discovery.address,
-                "seed": "8c1f30d27a5be964", "state": str(self.state), "settings": merged,
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3} | dict(limits)}
+        merged = {
+            name: value | settings.get(name, {}) if isinstance(value, dict) else settings.get(name, value)
+            for name, value in self.SETTINGS.items()
+        }
+        conf = {
+            "name": "n0",
+            "listen": f"127.0.0.1:{self.port}",
+            "discovery": self.discovery.address,
+            "seed": "8c1f30d27a5be964",
+            "state": str(self.state),
+            "settings": merged,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3} | dict(limits),
+        }
         if known:
             conf["known"] = self.discovery.page
         self.conf, self.parts = folder / "config.json", conf
         self.conf.write_text(json.dumps(conf))
         self.count, self.process, self.environ = count(1), None, environ or {}
-        self.module, self.home = "swiftthread", None    # what is started, and from which folder
+        self.module, self.home = "swiftthread", None  # what is started, and from which folder
 
     def __enter__(self):
         return self.start()
@@ -356,8 +418,12 @@
     def start(self):
         if self.process is not None:
             self.process.stderr.close()
-        self.process = subprocess.Popen([sys.executable, "-m", self.module], stderr=subprocess.PIPE, cwd=self.home,
-                                        env=os.environ | {"LB_CONFIG": str(self.conf)} | self.environ)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", self.module],
+            stderr=subprocess.PIPE,
+            cwd=self.home,
+            env=os.environ | {"LB_CONFIG": str(self.conf)} | self.environ,
+        )
         until(lambda: self.healthy())
         return self
 
@@ -379,8 +445,14 @@
 
     def bytes_of(self, stream="notice", body=b"hello", dest=1, left="4000m", ident=None, **headers):
         ident = ident or f"evt-{next(self.count)}"
-        head = {"Host": "api.internal", "X-Txn": ident, "X-Lane": stream.partition("/")[0], "X-Remaining": left,
-                "X-Route-To": f"dest={dest}", "Content-Length": len(body)} | headers
+        head = {
+            "Host": "api.internal",
+            "X-Txn": ident,
+            "X-Lane": stream.partition("/")[0],
+            "X-Remaining": left,
+            "X-Route-To": f"dest={dest}",
+            "Content-Length": len(body),
+        } | headers
         lines = "".join(f"{name}: {value}\r\n" for name, value in head.items() if value is not None)
         return f"POST /{stream} HTTP/1.1\r\n{lines}\r\n".encode() + body
 
@@ -407,7 +479,9 @@
         held = {}
         for _, _, kind, payload in records(self.ledger().read_bytes()):
             if kind in (TAKEN, ENDED):
-                row = json.loads(payload[4:4 + struct.unpack_from("<I", payload)[0]] if kind == TAKEN else payload)
+                row = json.loads(
+                    payload[4 : 4 + struct.unpack_from("<I", payload)[0]] if kind == TAKEN else payload
+                )
                 held[row[0]] = kind == TAKEN
         return {ident for ident, is_held in held.items() if is_held}
 
--- a/tests/lab/test_emulator.py
+++ b/tests/lab/test_emulator.py
@@ -1,4 +1,5 @@
 """The emulator on sockets: each scripted fault is what a caller really meets, and nothing is left of a run."""
+
 import json
 import os
 import signal
@@ -39,8 +40,11 @@
         path = folder / "day.toml"
         path.write_text(DAY.format(steps=steps, dest=dest))
         self.rows = folder / "rows"
-        self.process = subprocess.Popen([sys.executable, "-m", "swiftthread.lab", "emulate", str(path), "--rows",
-                                         str(self.rows)], stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "swiftthread.lab", "emulate", str(path), "--rows", str(self.rows)],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
         self.page = json.loads(self.process.stdout.readline())
         self.address = {row["id"]: address(row["addr"]) for row in self.page["known"]["servers"]}
         self.tell(f"go {time.monotonic() * 1000.0}")
@@ -79,8 +83,10 @@
     try:
         conn = conn or socket.create_connection(where, timeout)
         conn.settimeout(timeout)
-        conn.sendall(b"POST /receive HTTP/1.1\r\nHost: e\r\nX-Txn: %s\r\nContent-Length: %d\r\n\r\n%s"
-                     % (ident.encode(), len(body), body))
+        conn.sendall(
+            b"POST /receive HTTP/1.1\r\nHost: e\r\nX-Txn: %s\r\nContent-Length: %d\r\n\r\n%s"
+            % (ident.encode(), len(body), body)
+        )
         return conn.recv(4096)
     except OSError as fault:
         return type(fault).__name__
@@ -94,25 +100,34 @@
     return found
 
 
-@pytest.mark.parametrize("step, first", [
-    ("what = 'refuse'\non = 'endpoint:d1-0'", "ConnectionRefusedError"),
-    ("what = 'vanish'\non = 'endpoint:d1-0'", "TimeoutError"),
-    ("what = 'errors'\non = 'endpoint:d1-0'", b"HTTP/1.1 500"),
-    ("what = 'full'\non = 'endpoint:d1-0'", b"HTTP/1.1 429"),
-    ("what = 'drain'\non = 'endpoint:d1-0'", b"HTTP/1.1 503"),
-    ("what = 'reset_after'\non = 'endpoint:d1-0'", "ConnectionResetError"),
-    ("what = 'reset_before'\non = 'endpoint:d1-0'", "ConnectionResetError"),
-    ("what = 'half_answers'\non = 'endpoint:d1-0'", b"HTTP/1.1 20"),
-    ("what = 'swallow'\non = 'endpoint:d1-0'", "TimeoutError"),
-])
+@pytest.mark.parametrize(
+    "step, first",
+    [
+        ("what = 'refuse'\non = 'endpoint:d1-0'", "ConnectionRefusedError"),
+        ("what = 'vanish'\non = 'endpoint:d1-0'", "TimeoutError"),
+        ("what = 'errors'\non = 'endpoint:d1-0'", b"HTTP/1.1 500"),
+        ("what = 'full'\non = 'endpoint:d1-0'", b"HTTP/1.1 429"),
+        ("what = 'drain'\non = 'endpoint:d1-0'", b"HTTP/1.1 503"),
+        ("what = 'reset_after'\non = 'endpoint:d1-0'", "ConnectionResetError"),
+        ("what = 'reset_before'\non = 'endpoint:d1-0'", "ConnectionResetError"),
+        ("what = 'half_answers'\non = 'endpoint:d1-0'", b"HTTP/1.1 20"),
+        ("what = 'swallow'\non = 'endpoint:d1-0'", "TimeoutError"),
+    ],
+)
 def test_a_fault_is_what_a_caller_meets(tmp_path, step, first):
     with emulated(tmp_path, step) as day:
+
         def meets():
             said = call(day.address["d1-0"], timeout=0.4)
-            return said == first if isinstance(first, str) else isinstance(said, bytes) and said.startswith(first)
+            return (
+                said == first
+                if isinstance(first, str)
+                else isinstance(said, bytes) and said.startswith(first)
+            )
+
         until(meets)
-        assert call(day.address["d1-1"]).startswith(b"HTTP/1.1 200")    # the one beside it is fine
-        beside, = [row for row in day.stop() if isinstance(row, records.Arrived) and row.endpoint == "d1-1"]
+        assert call(day.address["d1-1"]).startswith(b"HTTP/1.1 200")  # the one beside it is fine
+        (beside,) = [row for row in day.stop() if isinstance(row, records.Arrived) and row.endpoint == "d1-1"]
         assert beside.idents == ["e1"]
 
 
@@ -120,7 +135,7 @@
     with emulated(tmp_path, "what = 'reset_before'\non = 'dest:1'") as day:
         until(lambda: call(day.address["d1-0"], timeout=0.4) == "ConnectionResetError")
         seen = sum(isinstance(row, records.Replied) and row.said == "done" for row in day.stop())
-        assert seen <= 1        # at most a call that came before the step
+        assert seen <= 1  # at most a call that came before the step
 
 
 def test_a_shut_destination_tells_the_time_that_is_left(tmp_path):
@@ -151,10 +166,12 @@
 def test_slow_readers_and_writers_are_slow(tmp_path):
     both = ("what = 'slow_read'\non = 'endpoint:d1-0'", "what = 'slow_write'\non = 'endpoint:d1-0'")
     with emulated(tmp_path, *both) as day:
+
         def took():
             begun = time.monotonic()
             assert call(day.address["d1-0"], body=b"y" * 640)
             return time.monotonic() - begun
+
         until(lambda: took() > 0.15)
 
 
@@ -162,10 +179,15 @@
     with emulated(tmp_path) as day:
         body = json.dumps([{"id": "a", "body": "aGk="}, {"id": "b", "body": "aGk="}]).encode()
         with socket.create_connection(day.address["d1-0"]) as conn:
-            conn.sendall(b"POST /receive-many HTTP/1.1\r\nHost: e\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+            conn.sendall(
+                b"POST /receive-many HTTP/1.1\r\nHost: e\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+            )
             said = conn.recv(4096)
-        assert json.loads(said.partition(b"\r\n\r\n")[2]) == [{"id": "a", "state": "done"}, {"id": "b", "state": "done"}]
-        call_row, = [row for row in day.stop() if isinstance(row, records.Arrived)]
+        assert json.loads(said.partition(b"\r\n\r\n")[2]) == [
+            {"id": "a", "state": "done"},
+            {"id": "b", "state": "done"},
+        ]
+        (call_row,) = [row for row in day.stop() if isinstance(row, records.Arrived)]
         assert call_row.idents == ["a", "b"]
 
 
@@ -180,9 +202,11 @@
                 seen += conn.recv(65536)
         with socket.create_connection(address(day.page["discovery"][0])) as conn:
             line = b'{"message":"x","outcome":"handed_back","retry_in_ms":250}\n'
-            conn.sendall(b"POST /status HTTP/1.1\r\nHost: d\r\nContent-Length: %d\r\n\r\n%s" % (len(line), line))
+            conn.sendall(
+                b"POST /status HTTP/1.1\r\nHost: d\r\nContent-Length: %d\r\n\r\n%s" % (len(line), line)
+            )
             assert conn.recv(100).startswith(b"HTTP/1.1 204")
-        notice, = [row for row in day.stop() if isinstance(row, records.Noticed)]
+        (notice,) = [row for row in day.stop() if isinstance(row, records.Noticed)]
         assert (notice.node, notice.ident, notice.outcome, notice.back_ms) == ("n0", "x", "handed_back", 250)
 
 
@@ -194,9 +218,17 @@
 
 @pytest.mark.parametrize("how", [signal.SIGINT, signal.SIGTERM])
 def test_an_interrupted_run_leaves_nothing_running(tmp_path, how):
-    run = subprocess.Popen([sys.executable, "-m", "swiftthread.lab", "run", "calm", "--into", str(tmp_path / "r")],
-                           stderr=subprocess.PIPE, stdout=subprocess.DEVNULL)
-    until(lambda: (tmp_path / "r" / "n1.log").exists() and b"serves" in (tmp_path / "r" / "n1.log").read_bytes(), 15.0)
+    run = subprocess.Popen(
+        [sys.executable, "-m", "swiftthread.lab", "run", "calm", "--into", str(tmp_path / "r")],
+        stderr=subprocess.PIPE,
+        stdout=subprocess.DEVNULL,
+    )
+    until(
+        lambda: (
+            (tmp_path / "r" / "n1.log").exists() and b"serves" in (tmp_path / "r" / "n1.log").read_bytes()
+        ),
+        15.0,
+    )
     run.send_signal(how)
     said = run.communicate(timeout=20)[1].decode()
     assert run.returncode == 130 and "Traceback" not in said, said
@@ -213,7 +245,15 @@
 
 
 def test_the_nodes_start_does_not_load_the_laboratory():
-    done = subprocess.run([sys.executable, "-c", "import swiftthread.__main__, sys; print([m for m in sys.modules if "
-                           "'swiftthread.lab' in m or m in ('msgspec', 'click', 'numpy', 'httptools')])"],
-                          capture_output=True, text=True, check=True)
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            "import swiftthread.__main__, sys; print([m for m in sys.modules if "
+            "'swiftthread.lab' in m or m in ('msgspec', 'click', 'numpy', 'httptools')])",
+        ],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     assert done.stdout.strip() == "[]"
--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -1,4 +1,5 @@
 """The model of a receiver: against queueing theory, its failures, and the same events for the same seed."""
+
 import hashlib
 import json
 import math
@@ -11,14 +12,17 @@
 
 from swiftthread.lab import model
 
-WITHIN = 0.03       # of the theory's figure
+WITHIN = 0.03  # of the theory's figure
 
 
 def one(rng, *, workers=1, queue=10**9, kind="exponential", mean=10.0, rate=0.0, cold=1.0, **more):
     dest = model.Destination(1, model.Limit(rate, **more), cold, 1000.0)
     world = model.World(rng)
-    return world, world.add(model.Endpoint("d1-0", dest, "east", workers, queue, 10**9,
-                                           model.service_of(kind, mean, 1.0, rng), mean))
+    return world, world.add(
+        model.Endpoint(
+            "d1-0", dest, "east", workers, queue, 10**9, model.service_of(kind, mean, 1.0, rng), mean
+        )
+    )
 
 
 def waits_at(load, calls, seed=20, **more):
@@ -32,11 +36,11 @@
         for answer in world.advance(now):
             ended += 1
         in_system = endpoint.busy + len(endpoint.queue)
-        stay += max(0, in_system - endpoint.workers)        # PASTA: arrivals see the time average of the queue
+        stay += max(0, in_system - endpoint.workers)  # PASTA: arrivals see the time average of the queue
         begun += 1
         _, answer = world.arrive(now, endpoint, number)
         away += answer is not None
-    return stay / begun * gap, away / begun                 # Little: mean queue = arrivals x mean wait
+    return stay / begun * gap, away / begun  # Little: mean queue = arrivals x mean wait
 
 
 def erlang_b(workers, offered):
@@ -96,14 +100,21 @@
 
 
 def test_refusals_may_use_the_limit_up():
-    kept, used = (one(random.Random(1), workers=50, rate=10.0, span_ms=1000.0, refusals_use=use) for use in (False, True))
+    kept, used = (
+        one(random.Random(1), workers=50, rate=10.0, span_ms=1000.0, refusals_use=use)
+        for use in (False, True)
+    )
     moments = [float(at) for at in range(0, 1000, 50)]
     for world, endpoint in (kept, used):
         said = Counter(said for said, _ in said_at(world, endpoint, moments))
         assert said == {"in": 10, "full": 10}
-    smooth_kept, smooth_used = (one(random.Random(1), workers=50, rate=10.0, refusals_use=use) for use in (False, True))
-    counts = [sum(said == "in" for said, _ in said_at(*pair, [float(at) for at in range(0, 5000, 50)]))
-              for pair in (smooth_kept, smooth_used)]
+    smooth_kept, smooth_used = (
+        one(random.Random(1), workers=50, rate=10.0, refusals_use=use) for use in (False, True)
+    )
+    counts = [
+        sum(said == "in" for said, _ in said_at(*pair, [float(at) for at in range(0, 5000, 50)]))
+        for pair in (smooth_kept, smooth_used)
+    ]
     assert counts[0] == 51 and counts[1] < 10
 
 
@@ -124,7 +135,11 @@
     world.apply(5.0, "pause", [endpoint], for_ms=100.0)
     third, _ = world.arrive(6.0, endpoint, "c")
     assert world.advance(109.9) == []
-    assert [(a.call.tag, a.said) for a in world.advance(200.0)] == [("a", "done"), ("b", "done"), ("c", "done")]
+    assert [(a.call.tag, a.said) for a in world.advance(200.0)] == [
+        ("a", "done"),
+        ("b", "done"),
+        ("c", "done"),
+    ]
     assert endpoint.busy == 0 and world.next_moment() == math.inf
 
 
@@ -133,7 +148,10 @@
     for tag in "abc":
         world.arrive(0.0, endpoint, tag)
     assert [(a.call.tag, a.said) for a in world.apply(5.0, "refuse", [endpoint])] == [
-        ("a", "reset"), ("b", "reset"), ("c", "reset")]
+        ("a", "reset"),
+        ("b", "reset"),
+        ("c", "reset"),
+    ]
     assert not world.connects(endpoint)
     world.apply(50.0, "heal", [endpoint])
     assert world.advance(500.0) == [] and world.connects(endpoint) and endpoint.busy == 0
@@ -150,7 +168,7 @@
     assert dest.warmth(1000.0) == pytest.approx(0.2) and dest.warmth(1500.0) == pytest.approx(0.6)
     said = [said for said, _ in said_at(world, endpoint, [1000.0 + 5.0 * n for n in range(30)])]
     assert "falls" in rows and said[-1] == "reset" and endpoint.down
-    assert 8 <= rows[:rows.index("falls")].count("arrives") <= 20
+    assert 8 <= rows[: rows.index("falls")].count("arrives") <= 20
 
 
 def test_no_fall_within_the_budget_nor_once_warm():
@@ -197,8 +215,15 @@
 
 
 def test_the_same_seed_gives_the_same_events_byte_by_byte():
-    runs = [subprocess.run([sys.executable, "-c", HASH], capture_output=True, check=True,
-                           env={"PYTHONHASHSEED": str(seed), "PYTHONPATH": "."}).stdout for seed in (0, 1, 2)]
+    runs = [
+        subprocess.run(
+            [sys.executable, "-c", HASH],
+            capture_output=True,
+            check=True,
+            env={"PYTHONHASHSEED": str(seed), "PYTHONPATH": "."},
+        ).stdout
+        for seed in (0, 1, 2)
+    ]
     assert len({hashlib.sha256(run).hexdigest() for run in runs}) == 1
     kinds = Counter(row[1] for row in json.loads(runs[0]))
     assert {"arrives", "done", "full", "error", "shut", "reset", "refuse", "heal"} <= set(kinds)
--- a/tests/lab/test_planted.py
+++ b/tests/lab/test_planted.py
@@ -1,4 +1,5 @@
 """Runs over sockets with nodes that break one rule each: for each rule the referee catches a breach planted."""
+
 import sys
 from pathlib import Path
 
@@ -9,7 +10,7 @@
 from swiftthread.lab.runner import Run
 
 WRONG = Path(__file__).with_name("wrong_node.py")
-AT_A_TIME = 4       # runs beside each other: four processes each are on eight cores without crowding them
+AT_A_TIME = 4  # runs beside each other: four processes each are on eight cores without crowding them
 
 HEAD = """
 format = 1
@@ -61,8 +62,10 @@
     "OtherGroup": (day(RESETS, effect="deduplicated", stream=ZONE), "no effect twice"),
     "TwoOut": (day(dest=SLOW), "no effect twice"),
     "Drains": (day(step(500, "drain", "endpoint:d1-0")), "drain"),
-    "Crowds": (day(step(300, "refuse", for_ms=1000), dest="rate_per_s = 20\nconnections = 200", rate=60),
-               "fall budget"),
+    "Crowds": (
+        day(step(300, "refuse", for_ms=1000), dest="rate_per_s = 20\nconnections = 200", rate=60),
+        "fall budget",
+    ),
     "OutOfOrder": (day(stream="in_order = true", dest=SLOW, load="subjects = 4"), "order"),
     "Right": (day(step(500, "shut", for_ms=1000, wait_ms=1)), "told wait"),
     "unlogged": (day(step(1200, "kill", "node:0", for_ms=300), dest=SLOW + "\nrate_per_s = 0"), "logged"),
@@ -74,8 +77,14 @@
     """The result of each planted day, and of quiet days of nodes that break nothing there."""
     found, room = {}, anyio.Semaphore(AT_A_TIME)
     days = {name: (name if name != "unlogged" else "Right", text) for name, (text, _) in PLANTED.items()}
-    days |= {"quiet": ("Right", day()), "quiet in order": ("Right", day(stream="in_order = true", load="subjects = 900")),
-             "swiftthread": (None, day(step(300, "refuse", for_ms=700), RESETS.replace("at_ms = 200", "at_ms = 400")))}
+    days |= {
+        "quiet": ("Right", day()),
+        "quiet in order": ("Right", day(stream="in_order = true", load="subjects = 900")),
+        "swiftthread": (
+            None,
+            day(step(300, "refuse", for_ms=700), RESETS.replace("at_ms = 200", "at_ms = 400")),
+        ),
+    }
 
     async def one(name, kind, text):
         script = scripts.parse(text, name)
@@ -87,6 +96,7 @@
         async with anyio.create_task_group() as tasks:
             for name, (kind, text) in days.items():
                 tasks.start_soon(one, name, kind, text)
+
     anyio.run(every)
     return found
 
--- a/tests/lab/test_scripts.py
+++ b/tests/lab/test_scripts.py
@@ -1,4 +1,5 @@
 """Scripts: the shipped ones can be used; what is wrong is said in one line with file and key."""
+
 import subprocess
 import sys
 
@@ -20,8 +21,14 @@
 
 
 def lab(*words, **more):
-    return subprocess.run([sys.executable, "-m", "swiftthread.lab", *words], capture_output=True, text=True, timeout=60,
-                          check=False, **more)
+    return subprocess.run(
+        [sys.executable, "-m", "swiftthread.lab", *words],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+        **more,
+    )
 
 
 @pytest.mark.parametrize("name", scripts.shipped_names())
@@ -36,22 +43,27 @@
     assert len(scripts.shipped_names()) >= 12
 
 
-@pytest.mark.parametrize("more, said", [
-    ("[load]\nratee = 3", "key load.ratee: object contains unknown field"),
-    ("[load]\nrate_per_s = 'x'", "key load.rate_per_s: expected `float`, got `str`"),
-    ("[load]\nrate_per_s = 0", "key load.rate_per_s: expected `float` > 0"),
-    ("[fleet]\nnodes = 0", "key fleet.nodes: expected `int` >= 1"),
-    ("[[step]]\nat_ms = 5\nwhat = 'heal'\non = 'dest:1'\n[[step]]\nat_ms = 4\nwhat = 'heal'\non = 'dest:1'",
-     "key step[1].at_ms: 4 lies before the step above (5)"),
-    ("[[step]]\nat_ms = 5\nwhat = 'heal'\non = 'dest:2'", "key step[0].on: 'dest:2' names no endpoint"),
-    ("[[step]]\nat_ms = 5\nwhat = 'kill'\non = 'node:1'", "key step[0].on: 'node:1' is no node"),
-    ("[[step]]\nat_ms = 5\nwhat = 'explode'", "key step[0].what: 'explode' is none of"),
-    ("[[step]]\nat_ms = 5\nwhat = 'pause'\non = 'all'", "key step[0].for_ms: pause needs one"),
-    ("[[step]]\nat_ms = 50000\nwhat = 'heal'\non = 'all'", "key step[0].at_ms: it ends after lasts_s"),
-    ("[[stream]]\nname = 'd'\neffect = 'deduplicated'", "key stream[1].window_ms"),
-    ("[[destination]]\nnumber = 1", "key destination.number: a number is given twice"),
-    ("lasts_s = [", "no TOML"),
-])
+@pytest.mark.parametrize(
+    "more, said",
+    [
+        ("[load]\nratee = 3", "key load.ratee: object contains unknown field"),
+        ("[load]\nrate_per_s = 'x'", "key load.rate_per_s: expected `float`, got `str`"),
+        ("[load]\nrate_per_s = 0", "key load.rate_per_s: expected `float` > 0"),
+        ("[fleet]\nnodes = 0", "key fleet.nodes: expected `int` >= 1"),
+        (
+            "[[step]]\nat_ms = 5\nwhat = 'heal'\non = 'dest:1'\n[[step]]\nat_ms = 4\nwhat = 'heal'\non = 'dest:1'",
+            "key step[1].at_ms: 4 lies before the step above (5)",
+        ),
+        ("[[step]]\nat_ms = 5\nwhat = 'heal'\non = 'dest:2'", "key step[0].on: 'dest:2' names no endpoint"),
+        ("[[step]]\nat_ms = 5\nwhat = 'kill'\non = 'node:1'", "key step[0].on: 'node:1' is no node"),
+        ("[[step]]\nat_ms = 5\nwhat = 'explode'", "key step[0].what: 'explode' is none of"),
+        ("[[step]]\nat_ms = 5\nwhat = 'pause'\non = 'all'", "key step[0].for_ms: pause needs one"),
+        ("[[step]]\nat_ms = 50000\nwhat = 'heal'\non = 'all'", "key step[0].at_ms: it ends after lasts_s"),
+        ("[[stream]]\nname = 'd'\neffect = 'deduplicated'", "key stream[1].window_ms"),
+        ("[[destination]]\nnumber = 1", "key destination.number: a number is given twice"),
+        ("lasts_s = [", "no TOML"),
+    ],
+)
 def test_faults_name_the_key(more, said, tmp_path):
     path = tmp_path / "bad.toml"
     path.write_text(GOOD + more if not more.startswith("lasts_s") else more)
@@ -66,13 +78,21 @@
     two.write_text("format = 2")
     done = lab("check", str(one), str(two))
     assert done.returncode == 2 and "Traceback" not in done.stderr
-    assert [word in done.stderr for word in ("step[0].what", "step[1].what", "step[1].at_ms", "two.toml: key format")] \
-        == [True] * 4
-
-
-@pytest.mark.parametrize("words, said", [
-    (("run", "no-such"), "no-such: no such file"), (("run", "calm", "--node", "other"), "--node other: is none of"),
-    (("run", "calm", "--rev", "nowhere"), "nowhere: no such revision"), (("compare", "nowhere", "calm"), "nowhere: no such")])
+    assert [
+        word in done.stderr
+        for word in ("step[0].what", "step[1].what", "step[1].at_ms", "two.toml: key format")
+    ] == [True] * 4
+
+
+@pytest.mark.parametrize(
+    "words, said",
+    [
+        (("run", "no-such"), "no-such: no such file"),
+        (("run", "calm", "--node", "other"), "--node other: is none of"),
+        (("run", "calm", "--rev", "nowhere"), "nowhere: no such revision"),
+        (("compare", "nowhere", "calm"), "nowhere: no such"),
+    ],
+)
 def test_bad_words_end_with_2_and_one_line(words, said, tmp_path):
     done = lab(*words, *(("--into", str(tmp_path / "r"))))
     assert done.returncode == 2 and said in done.stderr and "Traceback" not in done.stderr
@@ -88,7 +108,8 @@
     script = scripts.load("crowd")
     rows = load.schedule(script, 5)
     assert [(at, event.origin, event.dest) for at, event in rows] == [
-        (at, event.origin, event.dest) for at, event in load.schedule(script, 5)]
+        (at, event.origin, event.dest) for at, event in load.schedule(script, 5)
+    ]
     inside = sum(4000.0 <= at < 8000.0 for at, _ in rows) / 4.0
     outside = sum(at < 4000.0 for at, _ in rows) / 4.0
     assert inside == pytest.approx(270.0, rel=0.12) and outside == pytest.approx(90.0, rel=0.15)
@@ -102,12 +123,29 @@
 
 
 def rows_of(name, before, after):
-    return [{"name": name, "load": 1.0, "seed": seed, "rev": rev, "node": "swiftthread", "measure": value, "void": "",
-             "breaches": []} for rev, values in (("a", before), ("b", after)) for seed, value in enumerate(values)]
-
-
-@pytest.mark.parametrize("after, said", [
-    ([0.7, 0.71, 0.72, 0.69, 0.7, 0.71], "more than chance"), ([0.6, 0.5, 0.58, 0.62, 0.55, 0.57], "no more than chance")])
+    return [
+        {
+            "name": name,
+            "load": 1.0,
+            "seed": seed,
+            "rev": rev,
+            "node": "swiftthread",
+            "measure": value,
+            "void": "",
+            "breaches": [],
+        }
+        for rev, values in (("a", before), ("b", after))
+        for seed, value in enumerate(values)
+    ]
+
+
+@pytest.mark.parametrize(
+    "after, said",
+    [
+        ([0.7, 0.71, 0.72, 0.69, 0.7, 0.71], "more than chance"),
+        ([0.6, 0.5, 0.58, 0.62, 0.55, 0.57], "no more than chance"),
+    ],
+)
 def test_what_is_more_than_chance(after, said):
     lines = list(experiment.compared(rows_of("x", [0.55, 0.56, 0.57, 0.58, 0.59, 0.54], after), "a", "b"))
     assert f"over 6 pairs: {said}" in lines[0]
--- a/tests/lab/wrong_node.py
+++ b/tests/lab/wrong_node.py
@@ -1,4 +1,5 @@
 """Stand-in nodes that break one rule each, on purpose: the referee must catch them. `python wrong_node.py RULE`."""
+
 import asyncio
 import sys
 
@@ -113,8 +114,23 @@
         return await super().strategy(event)
 
 
-RULES = {kind.__name__: kind for kind in (Right, NoEnd, TwoEnds, Late, Unsaid, Twice, PastWindow, OtherGroup, TwoOut,
-                                          Drains, Crowds, OutOfOrder)}
+RULES = {
+    kind.__name__: kind
+    for kind in (
+        Right,
+        NoEnd,
+        TwoEnds,
+        Late,
+        Unsaid,
+        Twice,
+        PastWindow,
+        OtherGroup,
+        TwoOut,
+        Drains,
+        Crowds,
+        OutOfOrder,
+    )
+}
 
 if __name__ == "__main__":
     relay.main(RULES[sys.argv[1]])
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -1,4 +1,5 @@
 """The bounds of a send hold for its bytes, however late its connection comes up: window, group, end, wait, drain."""
+
 import math
 import signal
 import socket
@@ -23,10 +24,20 @@
     return node, evt
 
 
-@pytest.mark.parametrize("stream, sink, by", [
-    (DEDUPLICATED, "a", 5988.0), (DEDUPLICATED, "b", 5988.0), (ZONAL, "a", 5988.0), (ZONAL, "c", 5988.0),
-    (ZONAL, "b", -math.inf), (ZONAL._replace(group="cell"), "a", 5988.0), (IDEMPOTENT, "b", 9988.0),
-    (ZONAL._replace(group="cell"), "c", -math.inf), (ZONAL._replace(window_ms=900.0), "a", -math.inf)])
+@pytest.mark.parametrize(
+    "stream, sink, by",
+    [
+        (DEDUPLICATED, "a", 5988.0),
+        (DEDUPLICATED, "b", 5988.0),
+        (ZONAL, "a", 5988.0),
+        (ZONAL, "c", 5988.0),
+        (ZONAL, "b", -math.inf),
+        (ZONAL._replace(group="cell"), "a", 5988.0),
+        (IDEMPOTENT, "b", 9988.0),
+        (ZONAL._replace(group="cell"), "c", -math.inf),
+        (ZONAL._replace(window_ms=900.0), "a", -math.inf),
+    ],
+)
 def test_a_send_after_one_that_may_have_run_leaves_inside_its_window_and_group(stream, sink, by):
     node, evt = maybe_ran(stream)
     assert node.leaves_by(evt, node.sinks[sink], 1000.0) == by
@@ -48,7 +59,9 @@
 
 def test_an_endpoint_that_comes_back_elsewhere_is_of_its_new_group():
     node, evt = maybe_ran(ZONAL)
-    node.listed([("a", 0, 1, 0, 0.0, True), ("b", 0, 0, 0, 0.0, True), ("c", 0, 1, 0, 0.0, True)], True, 1100.0)
+    node.listed(
+        [("a", 0, 1, 0, 0.0, True), ("b", 0, 0, 0, 0.0, True), ("c", 0, 1, 0, 0.0, True)], True, 1100.0
+    )
     assert node.where(evt, 1100.0).sink.ident == "b"
 
 
@@ -70,7 +83,9 @@
 def test_a_connection_that_comes_up_after_the_window_carries_no_second_send(tmp_path, group):
     """The fleet's zone+mass days: decided 4.7 s after the first send, its bytes left after 5.7 s of a window of 5.1."""
     endpoint = Gated(lambda _body: (endpoint.shut(), time.sleep(1.25), "reset")[2], 200)
-    streams = [{"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": group, "Window": 2.2}]
+    streams = [
+        {"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": group, "Window": 2.2}
+    ]
     with Program(tmp_path, endpoint, Profiles=streams, Permissions={"ConnectTimeout": 4.0}) as node:
         assert node.hand_in("posting", left="8000m", **POSTING) == 202
         until(lambda: node.ledger().read_bytes().count(b'O["evt-1"') == 2)
@@ -84,7 +99,10 @@
 def test_an_event_whose_time_ends_before_its_connection_is_up_is_in_no_call(tmp_path, stream):
     """It was told to have timed out and given up, and then travelled with the others of its call all the same."""
     wait = (429, [("Retry-After", "0.3"), ("Connection", "close")], b"")
-    endpoint = Gated(lambda _body: (endpoint.shut(), wait)[1], lambda body: (200, [], b'[{"id":"evt-2","state":"done"},{"id":"evt-1","state":"done"}]'))
+    endpoint = Gated(
+        lambda _body: (endpoint.shut(), wait)[1],
+        lambda body: (200, [], b'[{"id":"evt-2","state":"done"},{"id":"evt-1","state":"done"}]'),
+    )
     with Program(tmp_path, endpoint, Domain={"KindBatch": [5]}, Permissions={"ConnectTimeout": 4.0}) as node:
         assert node.hand_in(stream, left="1000m") == 202
         until(lambda: b'N["evt-1"]' in node.ledger().read_bytes())
@@ -97,10 +115,14 @@
 
 def test_no_event_ends_while_the_call_that_it_travels_in_is_out(tmp_path):
     """zone+brink days: one of a call was given up, the answer came after it, and the others' acks counted for nothing."""
+
     def late(conn):
         until(lambda: node.notices())
-        conn.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 69\r\n\r\n'
-                     b'[{"id": "evt-1", "state": "done"}, {"id": "evt-2", "state": "done"}]\n')
+        conn.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 69\r\n\r\n"
+            b'[{"id": "evt-1", "state": "done"}, {"id": "evt-2", "state": "done"}]\n'
+        )
+
     wait = (429, [("Retry-After", "0.3"), ("Connection", "close")], b"")
     endpoint = Endpoint(wait, lambda _body: late, 200)
     endpoint.entry = lambda entry=endpoint.entry: entry(weight=40.0)
@@ -121,13 +143,18 @@
         node.sinks["a"].key.due = 0.0
         events = [node.take(0.0, 0, 0, left if short_first == number else 9000.0) for number in (True, False)]
         answers = [node.where(evt, 0.0) for evt in events]
-        assert [getattr(getattr(answer, "sink", None), "ident", None) for answer in answers] == [first, second]
+        assert [getattr(getattr(answer, "sink", None), "ident", None) for answer in answers] == [
+            first,
+            second,
+        ]
         node.sinks["a"].key.ride = (None, -math.inf, 0)
 
 
 def test_a_process_that_stood_still_does_not_send_what_is_past_its_window(tmp_path):
     endpoint = Gated(lambda _body: (endpoint.shut(), time.sleep(1.25), "reset")[2], 200)
-    streams = [{"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": "zone", "Window": 2.2}]
+    streams = [
+        {"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": "zone", "Window": 2.2}
+    ]
     with Program(tmp_path, endpoint, Profiles=streams, Permissions={"ConnectTimeout": 6.0}) as node:
         assert node.hand_in("posting", left="8000m", **POSTING) == 202
         until(lambda: node.ledger().read_bytes().count(b'O["evt-1"') == 2)
@@ -160,11 +187,17 @@
     endpoint = Gated(lambda _body: (endpoint.gate.clear(), time.sleep(0.7), "reset")[2], 200)
     endpoint.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
     endpoint.listener.listen(8)
-    streams = [{"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": "zone", "Window": window}]
+    streams = [
+        {"Name": "posting", "Effect": "dedup", "Aim": 1.5, "Deadline": 9.0, "Group": "zone", "Window": window}
+    ]
     with Program(tmp_path, endpoint, Profiles=streams, Permissions={"ConnectTimeout": 4.0}) as node:
         assert node.hand_in("posting", body=bytes(60000), left="8000m", **POSTING) == 202
         until(lambda: endpoint.calls)
-        until(lambda: time.monotonic() - endpoint.calls[0][0] > 1.45)       # before its time-out, 0.84 s after its send
+        until(
+            lambda: time.monotonic() - endpoint.calls[0][0] > 1.45
+        )  # before its time-out, 0.84 s after its send
         endpoint.gate.set()
         until(lambda: b'E["evt-1"]' in node.ledger().read_bytes())
-        assert len(endpoint.calls) == calls and node.notices() == ({"evt-1": "given_up"} if calls == 1 else {})
+        assert len(endpoint.calls) == calls and node.notices() == (
+            {"evt-1": "given_up"} if calls == 1 else {}
+        )
--- a/tests/test_effects.py
+++ b/tests/test_effects.py
@@ -1,4 +1,5 @@
 """Rule 2 by chance: a real node among receivers that are shut, slow, silent and reset, killed and stopped meanwhile."""
+
 import json
 import random
 import signal
@@ -13,18 +14,42 @@
 ONCE, ZONE, ALL, FREELY = Rules(True), Rules(True, "zone", 2.0), Rules(True, "all", 2.0), Rules(False)
 
 
-@pytest.mark.parametrize("rule, calls, notices, said", [
-    (ONCE, [Seen(1.0, "e", "k", "a", False), Seen(2.0, "e", "k", "b", True)], [], None),
-    (ONCE, [Seen(1.0, "e", "k", "a", True), Seen(2.0, "e", "k", "a", False)], [], "may have run at 1.000"),
-    (ZONE, [Seen(1.0, "e", "k", "a", True), Seen(3.04, "e", "k", "a", True)], [], None),
-    (ZONE, [Seen(1.0, "e", "k", "a", True), Seen(3.06, "e", "k", "a", False)], [], "2.060 s after"),
-    (ZONE, [Seen(1.0, "e", "k", "a", True), Seen(2.0, "e", "k", "b", False)], [], "was sent to zone b"),
-    (ALL, [Seen(1.0, "e", "k", "a", True), Seen(2.0, "e", "k", "b", True)], [(2.5, "e", "handed_back")], None),
-    (ALL, [Seen(1.0, "e", "k", "a", True), Seen(1.5, "f", "k", "b", True)], [], None),
-    (ALL, [Seen(1.0, "e", "k", "a", True), Seen(3.5, "f", "k", "b", True)], [], "a second time"),
-    (ZONE, [Seen(1.0, "e", "k", "a", True)], [(1.5, "e", "handed_back")], "handed back, and may have run"),
-    (FREELY, [Seen(1.0, "e", "k", "a", True), Seen(9.0, "e", "k", "b", True)], [(9.5, "e", "handed_back")], None),
-    (FREELY, [Seen(9.0, "e", "k", "b", False)], [(8.9, "e", "handed_back")], "after it was handed_back")])
+@pytest.mark.parametrize(
+    "rule, calls, notices, said",
+    [
+        (ONCE, [Seen(1.0, "e", "k", "a", False), Seen(2.0, "e", "k", "b", True)], [], None),
+        (
+            ONCE,
+            [Seen(1.0, "e", "k", "a", True), Seen(2.0, "e", "k", "a", False)],
+            [],
+            "may have run at 1.000",
+        ),
+        (ZONE, [Seen(1.0, "e", "k", "a", True), Seen(3.04, "e", "k", "a", True)], [], None),
+        (ZONE, [Seen(1.0, "e", "k", "a", True), Seen(3.06, "e", "k", "a", False)], [], "2.060 s after"),
+        (ZONE, [Seen(1.0, "e", "k", "a", True), Seen(2.0, "e", "k", "b", False)], [], "was sent to zone b"),
+        (
+            ALL,
+            [Seen(1.0, "e", "k", "a", True), Seen(2.0, "e", "k", "b", True)],
+            [(2.5, "e", "handed_back")],
+            None,
+        ),
+        (ALL, [Seen(1.0, "e", "k", "a", True), Seen(1.5, "f", "k", "b", True)], [], None),
+        (ALL, [Seen(1.0, "e", "k", "a", True), Seen(3.5, "f", "k", "b", True)], [], "a second time"),
+        (
+            ZONE,
+            [Seen(1.0, "e", "k", "a", True)],
+            [(1.5, "e", "handed_back")],
+            "handed back, and may have run",
+        ),
+        (
+            FREELY,
+            [Seen(1.0, "e", "k", "a", True), Seen(9.0, "e", "k", "b", True)],
+            [(9.5, "e", "handed_back")],
+            None,
+        ),
+        (FREELY, [Seen(9.0, "e", "k", "b", False)], [(8.9, "e", "handed_back")], "after it was handed_back"),
+    ],
+)
 def test_the_referee_names_each_break_and_nothing_else(rule, calls, notices, said):
     found = broken(calls, {"e": rule, "f": rule}, notices)
     assert not found if said is None else any(said in line for line in found), found
@@ -32,20 +57,37 @@
 
 class Day:
     """Receivers in two zones, each on a script of its own chance, and clients that hand back in what they get back."""
-    STREAMS = {"once": (ONCE, lane("once", "fragile", Deadline=6.0)),
-               "zonal": (ZONE, lane("zonal", "dedup", Group="zone", Window=2.0, Deadline=6.0)),
-               "wide": (ALL, lane("wide", "dedup", Group="all", Window=2.0, Deadline=6.0)),
-               "notice": (FREELY, lane("notice", "retryable", Deadline=6.0))}
 
-    CELLS, RATE = 4, 300.0      # destinations; calls/s listed for each, so that trials of a lost one come soon
+    STREAMS = {
+        "once": (ONCE, lane("once", "fragile", Deadline=6.0)),
+        "zonal": (ZONE, lane("zonal", "dedup", Group="zone", Window=2.0, Deadline=6.0)),
+        "wide": (ALL, lane("wide", "dedup", Group="all", Window=2.0, Deadline=6.0)),
+        "notice": (FREELY, lane("notice", "retryable", Deadline=6.0)),
+    }
+
+    CELLS, RATE = 4, 300.0  # destinations; calls/s listed for each, so that trials of a lost one come soon
 
     def __init__(self, folder, seed):
-        self.chance, self.calls, self.rules, self.notices, self.lock = random.Random(seed), [], {}, [], threading.Lock()
-        self.endpoints = [self._endpoint(f"s-{number}", 1 + number // 3, "west" if number % 3 else "east")
-                          for number in range(3 * self.CELLS)]
-        self.program = Program(folder, *self.endpoints, Profiles=[profile for _, profile in self.STREAMS.values()],
-                               Domain={"KindBatch": [4], "CallsOut": 60}, Permissions={"ConnectTimeout": 4.0, "MaxOpen": 400},
-                               Localities=["east", "west"], Weights="nominal")
+        self.chance, self.calls, self.rules, self.notices, self.lock = (
+            random.Random(seed),
+            [],
+            {},
+            [],
+            threading.Lock(),
+        )
+        self.endpoints = [
+            self._endpoint(f"s-{number}", 1 + number // 3, "west" if number % 3 else "east")
+            for number in range(3 * self.CELLS)
+        ]
+        self.program = Program(
+            folder,
+            *self.endpoints,
+            Profiles=[profile for _, profile in self.STREAMS.values()],
+            Domain={"KindBatch": [4], "CallsOut": 60},
+            Permissions={"ConnectTimeout": 4.0, "MaxOpen": 400},
+            Localities=["east", "west"],
+            Weights="nominal",
+        )
         self.told = self.program.discovery.answer
         self.program.discovery.answer = self._platform
 
@@ -63,7 +105,7 @@
                 said = chance.choices([200, 500, 503, "reset", None, "late"], [4, 2, 4, 3, 5, 3])[0]
                 self.calls += [Seen(at, ident, key, zone, said != 503) for ident, key in rows]
                 pause = chance.choice([0.0, 0.05, 0.4])
-            if said == "late":      # the next send meets it shut, and its connection comes up a second after that
+            if said == "late":  # the next send meets it shut, and its connection comes up a second after that
                 endpoint.shut()
                 time.sleep(1.15)
                 threading.Timer(0.3, endpoint.hear).start()
@@ -72,6 +114,7 @@
             if len(rows) > 1 and said == 200:
                 said = 500
             return (said, [], b"") if isinstance(said, int) else said
+
         endpoint.answer = answer
         return endpoint
 
@@ -80,15 +123,22 @@
         before = len(self.program.discovery.notices)
         said = self.told(method, target, headers, body)
         with self.lock:
-            self.notices += [(came, row["message"], row["outcome"])
-                             for row in self.program.discovery.notices[before:]]
+            self.notices += [
+                (came, row["message"], row["outcome"]) for row in self.program.discovery.notices[before:]
+            ]
         return said
 
     def hand_in(self, number):
         stream = self.chance.choice(list(self.STREAMS))
         ident = f"evt-{number}"
         self.rules[ident] = self.STREAMS[stream][0]
-        self.program.hand_in(stream, ident=ident, left="5500m", dest=self.chance.randint(1, self.CELLS), **{"Idempotency-Key": f"key-{number}"})
+        self.program.hand_in(
+            stream,
+            ident=ident,
+            left="5500m",
+            dest=self.chance.randint(1, self.CELLS),
+            **{"Idempotency-Key": f"key-{number}"},
+        )
 
     def outage(self, endpoint):
         if endpoint.gate.is_set():
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -3,6 +3,7 @@
 Each test makes the bad order happen: bytes are written between two steps of the node, a stopped process lets them
 arrive first, or a pipe holds it at a place.
 """
+
 import fcntl
 import json
 import os
@@ -27,8 +28,10 @@
 from swiftthread.wire.door import Door
 from swiftthread.wire.line import Line, listening
 
-BYTES = (b"POST /once HTTP/1.1\r\nHost: n\r\nX-Txn: %s\r\nX-Lane: once\r\nX-Remaining: 4000m\r\nX-Route-To: dest=1\r\n"
-         b"Content-Length: %d\r\n\r\n")
+BYTES = (
+    b"POST /once HTTP/1.1\r\nHost: n\r\nX-Txn: %s\r\nX-Lane: once\r\nX-Remaining: 4000m\r\nX-Route-To: dest=1\r\n"
+    b"Content-Length: %d\r\n\r\n"
+)
 
 
 def unread(sock):
@@ -41,8 +44,18 @@
     def __init__(self, tasks, idle_ms=60000.0):
         self.taken, self.tasks = [], tasks
         self.listener = listening(("127.0.0.1", 0), 64)
-        self.door = Door(self.take, {"once": 0}, Buffers(), Limits({"sockets": 256}, 8, 5000.0, 500.0), lambda: 0.0,
-                         60000.0, 60000.0, idle_ms, Intake(5.0), lambda: None)
+        self.door = Door(
+            self.take,
+            {"once": 0},
+            Buffers(),
+            Limits({"sockets": 256}, 8, 5000.0, 500.0),
+            lambda: 0.0,
+            60000.0,
+            60000.0,
+            idle_ms,
+            Intake(5.0),
+            lambda: None,
+        )
         tasks.start_soon(self.door.serve, self.listener, tasks)
 
     def take(self, held):
@@ -81,6 +94,7 @@
             finally:
                 place.listener.close()
                 tasks.cancel_scope.cancel()
+
     anyio.run(run)
 
 
@@ -95,6 +109,7 @@
             while not unread(line.sock):
                 pass
         return was
+
     monkeypatch.setattr(Line, "fresh", and_then)
 
 
@@ -113,6 +128,7 @@
         client.close()
         await here(lambda: not any(place.door.rooms))
         assert place.taken == ["first"]
+
     inside(test, idle_ms=100.0 if why == "idle" else 60000.0)
 
 
@@ -121,10 +137,11 @@
         client = await place.client()
         place.door.close_idle()
         assert await said(client) == b""
-        line, = place.door.leaving
+        (line,) = place.door.leaving
         await here(lambda: not any(place.door.rooms))
         assert line.sock.fileno() < 0
         client.close()
+
     inside(test)
 
 
@@ -137,6 +154,7 @@
         assert await said(client) == b"" and place.taken == ["first"]
         client.close()
         await here(lambda: not any(place.door.rooms))
+
     inside(test)
 
 
@@ -147,6 +165,7 @@
         assert sum(map(len, place.door.rooms)) <= 4 and len(place.taken) == 12
         for client in clients:
             client.close()
+
     inside(test)
 
 
@@ -158,7 +177,7 @@
         if opened:
             until(lambda: client.sendall(node.bytes_of("once", b"")[:1]) is None)
         node.process.send_signal(signal.SIGTERM)
-        time.sleep(0.1)                         # of the 0.6 s in which a stop answers whatever comes
+        time.sleep(0.1)  # of the 0.6 s in which a stop answers whatever comes
         node.process.send_signal(signal.SIGSTOP)
         began = time.monotonic()
         client = client or node.open()
@@ -175,8 +194,11 @@
     node = Program(tmp_path, Endpoint())
     pipe = tmp_path / "pipe"
     os.mkfifo(pipe)
-    process = subprocess.Popen([sys.executable, "-m", "swiftthread"], stderr=subprocess.PIPE,
-                               env=os.environ | {"LB_CONFIG": str(pipe)})
+    process = subprocess.Popen(
+        [sys.executable, "-m", "swiftthread"],
+        stderr=subprocess.PIPE,
+        env=os.environ | {"LB_CONFIG": str(pipe)},
+    )
     writes = []
 
     def reads():
@@ -185,6 +207,7 @@
         except OSError:
             return False
         return True
+
     until(reads)
     process.send_signal(which)
     os.write(writes[0], node.conf.read_bytes())
@@ -204,13 +227,13 @@
             assert time.monotonic() - began < 10.0
             for which in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
                 node.process.send_signal(which)
-            select.select([], [], [], 0.002)    # a storm would keep it from its work
+            select.select([], [], [], 0.002)  # a storm would keep it from its work
         assert node.process.returncode == 0 and not node.held()
 
 
 def test_a_decision_whose_notice_is_not_answered_outlasts_a_stop(tmp_path):
     with Program(tmp_path, Endpoint(500)) as node:
-        node.discovery.refusing = 10 ** 6
+        node.discovery.refusing = 10**6
         assert node.hand_in("once") == 202
         until(lambda: b"given_up" in node.ledger().read_bytes())
         assert node.stop() == 0 and node.held() == {"evt-1"}
@@ -234,7 +257,10 @@
         assert node.notices() == {} and len(node.held()) == 20
         node.discovery.gate.set()
         until(lambda: not node.held())
-        assert node.notices() == {} and set(endpoint.idents()) - tried >= {f"evt-{n}" for n in range(1, 21)} - tried
+        assert (
+            node.notices() == {}
+            and set(endpoint.idents()) - tried >= {f"evt-{n}" for n in range(1, 21)} - tried
+        )
 
 
 @pytest.mark.parametrize("answer", [b"HTTP/1.1 2", b"HTTP/1.1 200 OK", b"HTTP/1.1 200 OK\r"])
@@ -244,6 +270,7 @@
         conn.sendall(answer)
         if reset:
             conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
     endpoint = Endpoint(lambda _body: half, 200)
     with Program(tmp_path, endpoint) as node:
         assert node.hand_in("once") == node.hand_in("notice") == 202
@@ -260,6 +287,7 @@
     def answer(conn):
         until(lambda: time.monotonic() > ends[0] + (0.1 if late else -0.6))
         conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
     endpoint = Endpoint(lambda _body: answer)
     with Program(tmp_path, endpoint) as node:
         ends.append(time.monotonic() + 1.5)
@@ -276,7 +304,7 @@
     endpoint = Endpoint(None)
     with Program(tmp_path, endpoint) as node:
         with node.open() as client:
-            client.sendall(node.bytes_of("once", b"", left="9000m"))       # accepted, and known to ask
+            client.sendall(node.bytes_of("once", b"", left="9000m"))  # accepted, and known to ask
             assert client.recv(99).startswith(b"HTTP/1.1 202")
             node.process.send_signal(signal.SIGSTOP)
             came = time.time()
@@ -284,16 +312,21 @@
             until(lambda: time.time() > came + 0.4)
             node.process.send_signal(signal.SIGCONT)
             assert client.recv(99).startswith(b"HTTP/1.1 202")
-        row = next(json.loads(payload[4:4 + struct.unpack_from("<I", payload)[0]]) for _, _, kind, payload
-                   in records(node.ledger().read_bytes()) if kind == TAKEN and b"evt-2" in payload)
+        row = next(
+            json.loads(payload[4 : 4 + struct.unpack_from("<I", payload)[0]])
+            for _, _, kind, payload in records(node.ledger().read_bytes())
+            if kind == TAKEN and b"evt-2" in payload
+        )
         assert came * 1000.0 + 3900.0 < row[4] < came * 1000.0 + 4100.0
 
 
 def test_an_event_whose_call_gets_no_answer_is_told_before_its_time_is_up(tmp_path):
     with Program(tmp_path, Endpoint(None)) as node:
         told = threading.Event()
-        node.discovery._ask_of, node.discovery.answer = node.discovery.answer, lambda *call: (
-            told.set() if call[0] == "POST" else None, node.discovery._ask_of(*call))[1]
+        node.discovery._ask_of, node.discovery.answer = (
+            node.discovery.answer,
+            lambda *call: (told.set() if call[0] == "POST" else None, node.discovery._ask_of(*call))[1],
+        )
         ends = time.time() + 1.2
         assert node.hand_in("once", left="1200m") == 202
         assert told.wait(5.0) and time.time() < ends + 0.001
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,4 +1,5 @@
 """A fault of our own, wherever it comes up, ends one event, call or client at most, and never the node."""
+
 from pathlib import Path
 
 import pytest
@@ -25,8 +26,14 @@
     return said
 
 
-@pytest.mark.parametrize("fault", ["swiftthread.choice:Dispatcher.probes 3 4", "swiftthread.queues:Queues._ask 3",
-                                   "swiftthread.choice:Dispatcher.next_moment 3"])
+@pytest.mark.parametrize(
+    "fault",
+    [
+        "swiftthread.choice:Dispatcher.probes 3 4",
+        "swiftthread.queues:Queues._ask 3",
+        "swiftthread.choice:Dispatcher.next_moment 3",
+    ],
+)
 def test_a_fault_in_a_turn_is_one_turn_less(tmp_path, fault):
     endpoint = Endpoint()
     with started(tmp_path, fault, endpoint) as node:
@@ -42,7 +49,9 @@
         for _ in range(4):
             assert node.hand_in() == 202
         until(lambda: len(endpoint.calls) == 3 and node.notices() and not node.held())
-        assert list(node.notices().values()) == ["given_up"] and not set(node.notices()) & set(endpoint.idents())
+        assert list(node.notices().values()) == ["given_up"] and not set(node.notices()) & set(
+            endpoint.idents()
+        )
         assert "the life of an event failed" in still_serves(node, endpoint)
 
 
@@ -67,7 +76,9 @@
 
 def test_a_fault_in_the_list_asks_for_the_whole_list(tmp_path):
     endpoint, later = Endpoint(), Endpoint(ident="s-2", cell=2)
-    with started(tmp_path, "swiftthread.wire.registry:Registry.entries 3", endpoint) as node:    # 1: known, 2: the first list
+    with started(
+        tmp_path, "swiftthread.wire.registry:Registry.entries 3", endpoint
+    ) as node:  # 1: known, 2: the first list
         until(lambda: node.discovery.watches)
         node.discovery.tell(later.entry())
         node.discovery.page = {"version": 9, "full": True, "servers": [endpoint.entry(), later.entry()]}
@@ -94,6 +105,6 @@
             try:
                 node.hand_in()
             except (OSError, IndexError):
-                pass            # the one that met the fault
+                pass  # the one that met the fault
         until(lambda: len(endpoint.calls) >= 3)
         assert "a client could not be accepted" in still_serves(node, endpoint)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,5 @@
 """What is harmless in one instance and harmful in many that share an endpoint and see little each."""
+
 from fleet import Fleet, Table
 from helpers import Run
 from swiftthread.plain import Later
@@ -18,6 +19,7 @@
 
 def test_a_full_table_is_neither_a_refusal_nor_an_outage():
     """New connections turned away were taken for the limit: rates fell, and two of them shut a destination."""
+
     def paced(outcome):
         run = Run(ROUTE, nodes=20)
         key = run.play(0.0).inst.node.sinks["a"].key
@@ -26,12 +28,13 @@
             run.inst.node.where(evt, moment)
             run.inst.node.after(evt, outcome, moment + 30.0, 30.0)
         return key.rate / rate, run.inst.node.sinks["a"].down
+
     assert paced("table full") == (1.0, False)
     run = Run([("a", 0, 0, 0, 0.0, True)]).play(0.0)
     evt = run.inst.node.take(0.0, 0, 0, 10000.0)
     run.inst.node.where(evt, 0.0)
     run.inst.node.after(evt, "table full", 30.0, 30.0)
-    assert run.inst.node.where(evt, 150.0) == Later()       # an unpaced key has no slot to wait for
+    assert run.inst.node.where(evt, 150.0) == Later()  # an unpaced key has no slot to wait for
     slowed, down = paced("full")
     assert slowed < 0.5 and down
 
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -1,4 +1,5 @@
 """How much comes in: while turns come late, no more than goes out; a node that keeps up takes all there is."""
+
 import math
 
 import pytest
@@ -10,8 +11,18 @@
     return sum(intake.takes() for _ in range(wanted))
 
 
-@pytest.mark.parametrize("late, moved, expected", [
-    (0.0, 0, 1000), (4.9, 0, 1000), (5.2, 0, LEAST), (5.2, 3, LEAST), (5.2, 64, 57), (80.0, 64, 57), (80.0, 2000, 1000)])
+@pytest.mark.parametrize(
+    "late, moved, expected",
+    [
+        (0.0, 0, 1000),
+        (4.9, 0, 1000),
+        (5.2, 0, LEAST),
+        (5.2, 3, LEAST),
+        (5.2, 64, 57),
+        (80.0, 64, 57),
+        (80.0, 2000, 1000),
+    ],
+)
 def test_requests_read_in_a_turn(late, moved, expected):
     intake = Intake(5.0)
     for _ in range(60):
@@ -43,5 +54,7 @@
         moved = min(held + came, 64)
         held += came - moved
         acked += moved
-        intake.turn(max(0.0, came + 2 * moved - 100) * 0.05 + 5.1, moved)     # with so much offered it is never idle
+        intake.turn(
+            max(0.0, came + 2 * moved - 100) * 0.05 + 5.1, moved
+        )  # with so much offered it is never idle
     assert held <= 64 and acked > 500 * LEAST
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,4 +1,5 @@
 """The log when it is torn, damaged, foreign or full: what was taken keeps its end, and nothing is sent twice for it."""
+
 import json
 import os
 import resource
@@ -68,10 +69,12 @@
     whole = (tmp_path / NAME).read_bytes()
     for at in range(0, places[-1], 3):
         (tmp_path / NAME).unlink()
-        (tmp_path / NAME).write_bytes(whole[:at] + bytes([whole[at] ^ 0x55]) + whole[at + 1:])
+        (tmp_path / NAME).write_bytes(whole[:at] + bytes([whole[at] ^ 0x55]) + whole[at + 1 :])
         ledger = open_at(tmp_path)
         number = sum(place <= at for place in places[1:])
-        if number == 5 and not ledger.unread:       # its length is damaged: it cannot be told from one torn at the end
+        if (
+            number == 5 and not ledger.unread
+        ):  # its length is damaged: it cannot be told from one torn at the end
             assert ledger.cut_off == places[-1] - places[5] and ledger.held["evt-2"].maybe
             ledger.close()
             continue
@@ -80,9 +83,9 @@
         assert list(said) == [f"evt-{event}" for event in range(3) if event != number]
         for event in range(min(number, 3)):
             assert said[f"evt-{event}"] == UNKNOWN
-        if number < 3:      # the notes after it still count
+        if number < 3:  # the notes after it still count
             assert said.get("evt-2") is None and said.get("evt-0", (1000.0, 1)) in ((1000.0, 1), UNKNOWN)
-        again = open_at(tmp_path)       # it was written anew
+        again = open_at(tmp_path)  # it was written anew
         assert not again.unread and known(again) == said
 
 
@@ -118,12 +121,21 @@
 
 @pytest.mark.parametrize("outcome", ["given_up", "handed_back"])
 def test_a_decision_is_in_the_log_though_the_disk_is_full(tmp_path, outcome):
-    child = subprocess.run([sys.executable, "-c", FULL_DISK, str(tmp_path), outcome], cwd=Path(__file__).parent,
-                           env=os.environ | {"PYTHONPATH": str(Path(__file__).parents[1])}, capture_output=True, text=True)
+    child = subprocess.run(
+        [sys.executable, "-c", FULL_DISK, str(tmp_path), outcome],
+        cwd=Path(__file__).parent,
+        env=os.environ | {"PYTHONPATH": str(Path(__file__).parents[1])},
+        capture_output=True,
+        text=True,
+    )
     assert child.returncode == 0, child.stderr
     assert "the log cannot be written: File too large" in child.stderr
     ledger = open_at(tmp_path)
-    assert [event.decision for event in ledger.held.values()] == [None, (outcome, 0.0), None] and not ledger.unread
+    assert [event.decision for event in ledger.held.values()] == [
+        None,
+        (outcome, 0.0),
+        None,
+    ] and not ledger.unread
     ledger.close()
 
 
@@ -139,6 +151,7 @@
 
     def no_cut(file, size):
         raise OSError(5, "Input/output error")
+
     monkeypatch.setattr(module.os, "write", half), monkeypatch.setattr(module.os, "ftruncate", no_cut)
     assert not ledger.sent(events[0], 1) and not ledger.sent(events[0], 1)
     monkeypatch.setattr(module.os, "write", write), monkeypatch.setattr(module.os, "ftruncate", cut)
@@ -153,8 +166,11 @@
     resource.prlimit(node.process.pid, resource.RLIMIT_FSIZE, (size, hard))
 
 
-STREAMS = [lane("notice", "retryable"), lane("once", "fragile", Deadline=9.0),
-           lane("posting", "dedup", Group="zone", Window=6.0, Deadline=9.0)]
+STREAMS = [
+    lane("notice", "retryable"),
+    lane("once", "fragile", Deadline=9.0),
+    lane("posting", "dedup", Group="zone", Window=6.0, Deadline=9.0),
+]
 
 
 def test_a_full_disk_wipes_no_note_of_a_send_that_may_have_run(tmp_path):
@@ -165,8 +181,11 @@
     first = Endpoint("reset", 200)
     with Program(tmp_path, first, Profiles=STREAMS) as node:
         sizes = []
-        first.script[0] = lambda _body: (sizes.append(os.path.getsize(node.ledger())), limit_files(node, sizes[0]),
-                                         "reset")[2]
+        first.script[0] = lambda _body: (
+            sizes.append(os.path.getsize(node.ledger())),
+            limit_files(node, sizes[0]),
+            "reset",
+        )[2]
         assert node.hand_in("posting", left="8000m", **{"Idempotency-Key": "k"}) == 202
         until(lambda: sizes)
         time.sleep(0.3)
@@ -185,13 +204,15 @@
     """Its client was told to hand it in elsewhere; here it was still owed."""
     endpoint, silent = Endpoint((429, [("Retry-After", "2.9")], b"")), Endpoint(None, ident="s-2", cell=2)
     with Program(tmp_path, endpoint, silent, Profiles=STREAMS, Permissions={"MaxOpen": 10}) as node:
+
         def hand_in(number, dest=1):
             assert node.hand_in("once", left="8000m", ident=f"evt-{number}", dest=dest) == 202
             return os.path.getsize(node.ledger())
+
         hand_in(10, dest=2), hand_in(11)
         until(lambda: b'N["evt-11"]' in node.ledger().read_bytes() and silent.calls)
-        sizes = [hand_in(number) for number in range(12, 19)]       # held back by the wait
-        limit_files(node, sizes[-1] + 80)       # room for one more, some 70 bytes, and none for a decision
+        sizes = [hand_in(number) for number in range(12, 19)]  # held back by the wait
+        limit_files(node, sizes[-1] + 80)  # room for one more, some 70 bytes, and none for a decision
         hand_in(19)
         until(node.notices)
         node.stop(signal.SIGKILL)
@@ -223,7 +244,7 @@
     with Program(tmp_path, endpoint, Profiles=STREAMS, Domain={"CallsOut": 1}) as node:
         assert node.hand_in("once") == 202
         until(lambda: endpoint.calls)
-        assert node.hand_in("once") == node.hand_in("notice") == 202    # taken after what will be damaged
+        assert node.hand_in("once") == node.hand_in("notice") == 202  # taken after what will be damaged
         node.stop(signal.SIGKILL)
         log = bytearray(node.ledger().read_bytes())
         log[log.index(b'O["evt-1"') + 5] ^= 1
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,4 +1,5 @@
 """The node as a program: started, spoken to over sockets, killed and started again."""
+
 import json
 import os
 import random
@@ -26,17 +27,30 @@
         assert node.hand_in("posting", b"\x00any\xff", **{"Idempotency-Key": "k-1"}) == 202
         until(lambda: endpoint.calls)
         _, target, headers, body = endpoint.calls[0]
-        assert (target, headers["x-txn"], headers["idempotency-key"], body) == ("/receive", "evt-1", "k-1",
-                                                                               b"\x00any\xff")
+        assert (target, headers["x-txn"], headers["idempotency-key"], body) == (
+            "/receive",
+            "evt-1",
+            "k-1",
+            b"\x00any\xff",
+        )
         assert headers["x-remaining"][-1] == "m" and 0 < int(headers["x-remaining"][:-1]) <= 4000
         until(lambda: b'E["evt-1"]' in node.ledger().read_bytes())
         assert node.stop() == 0
         assert node.start().stop() == 0 and len(endpoint.calls) == 1 and node.notices() == {}
 
 
-@pytest.mark.parametrize("first", [503, 500, "reset", b"HTTP/1.1 lots of nonsense\r\n\r\n", b"",
-                                   b"HTTP/1.1 503 Full\r\nX: " + b"y" * 70000,
-                                   (429, [("Retry-After", "soon")], b"")])
+@pytest.mark.parametrize(
+    "first",
+    [
+        503,
+        500,
+        "reset",
+        b"HTTP/1.1 lots of nonsense\r\n\r\n",
+        b"",
+        b"HTTP/1.1 503 Full\r\nX: " + b"y" * 70000,
+        (429, [("Retry-After", "soon")], b""),
+    ],
+)
 def test_an_idempotent_event_goes_again_whatever_the_first_answer(tmp_path, first):
     endpoint = Endpoint(first, 200)
     with Program(tmp_path, endpoint) as node:
@@ -45,12 +59,21 @@
         assert node.stop() == 0 and node.notices() == {}
 
 
-@pytest.mark.parametrize("rest", [b"Content-Length: nine\r\n\r\n", b"X: " + b"y" * 70000,
-                                  b"Content-Length: 3000000000\r\n\r\n" + bytes(200000), b"\x00\xff\r\n\r\n",
-                                  b"Content-Length: 50\r\n\r\nshort"], ids=range(5))
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: nine\r\n\r\n",
+        b"X: " + b"y" * 70000,
+        b"Content-Length: 3000000000\r\n\r\n" + bytes(200000),
+        b"\x00\xff\r\n\r\n",
+        b"Content-Length: 50\r\n\r\nshort",
+    ],
+    ids=range(5),
+)
 def test_a_spoilt_answer_is_true_if_its_first_line_says_200_and_else_may_have_run(tmp_path, rest):
     def spoilt(first):
         return lambda _body: lambda conn: (conn.sendall(first + b"\r\n" + rest), time.sleep(3))
+
     endpoint = Endpoint(spoilt(b"HTTP/1.1 200 OK"), spoilt(b"HTTP/1.1 503 Full"), 200)
     with Program(tmp_path, endpoint) as node:
         began = time.monotonic()
@@ -65,11 +88,14 @@
 @pytest.mark.parametrize("pause", [0.0, 0.05])
 def test_what_comes_after_a_good_answer_never_answers_the_next_event(tmp_path, more, pause):
     def answer(conn):
-        conn.sendall(b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nX-Pressure: {\r\nContent-Length: 0\r\n\r\n"
-                     + more * (not pause))
+        conn.sendall(
+            b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nX-Pressure: {\r\nContent-Length: 0\r\n\r\n"
+            + more * (not pause)
+        )
         time.sleep(pause)
         conn.sendall(more * (pause > 0))
         time.sleep(3)
+
     endpoint = Endpoint(*[lambda _body: answer] * 3, 500)
     with Program(tmp_path, endpoint) as node:
         for number in range(1, 5):
@@ -91,7 +117,7 @@
     endpoint = Endpoint()
     with Program(tmp_path, endpoint) as node:
         for ident in ("s-1", "s-2"):
-            for _ in range(16):         # so busy that connections are kept
+            for _ in range(16):  # so busy that connections are kept
                 assert node.hand_in() == 202
             until(lambda: len(endpoint.calls) == (16 if ident == "s-1" else 32))
             opened = endpoint.accepted if ident == "s-1" else opened
@@ -100,8 +126,16 @@
         assert endpoint.accepted > opened
 
 
-@pytest.mark.parametrize("first, calls, told", [(503, 2, {}), (500, 1, {"evt-1": "given_up"}),
-                                                ("reset", 1, {"evt-1": "given_up"}), (410, 1, {}), (504, 2, {})])
+@pytest.mark.parametrize(
+    "first, calls, told",
+    [
+        (503, 2, {}),
+        (500, 1, {"evt-1": "given_up"}),
+        ("reset", 1, {"evt-1": "given_up"}),
+        (410, 1, {}),
+        (504, 2, {}),
+    ],
+)
 def test_a_non_idempotent_event_goes_again_only_if_it_surely_did_not_run(tmp_path, first, calls, told):
     endpoint = Endpoint(first, 200)
     with Program(tmp_path, endpoint) as node:
@@ -168,12 +202,14 @@
 
 def many(states, cut=0):
     """An answer to a call of several: the states in turn, the last `cut` bytes of it missing."""
+
     def answer(body):
         rows = json.loads(body) if body.startswith(b"[") else None
         if not isinstance(rows, list):
             return 200
         said = json.dumps([{"id": row["id"], "state": state} for row, state in zip(rows, states)])
-        return 200, [], said[:len(said) - cut].encode()
+        return 200, [], said[: len(said) - cut].encode()
+
     return answer
 
 
@@ -188,8 +224,13 @@
         until(lambda: all(b'E["evt-%d"]' % i in node.ledger().read_bytes() for i in range(1, 6)))
         assert endpoint.calls[1][1] == "/receive-many"
         sent = [row["id"] for row in json.loads(endpoint.calls[1][3])]
-        again = [ident for call in endpoint.calls[2:] for ident in
-                 ([call[2]["x-txn"]] if call[1] == "/receive" else [row["id"] for row in json.loads(call[3])])]
+        again = [
+            ident
+            for call in endpoint.calls[2:]
+            for ident in (
+                [call[2]["x-txn"]] if call[1] == "/receive" else [row["id"] for row in json.loads(call[3])]
+            )
+        ]
         unsafe = sent[1] if sent[1] != "evt-1" else None
         assert set(again) - {"evt-1"} == {sent[2], sent[4]} - {"evt-1"}
         assert node.notices() == ({unsafe: "given_up"} if unsafe else {})
@@ -209,13 +250,16 @@
     def slow(_body):
         time.sleep(0.1)
         return 200
+
     endpoint = Endpoint("reset", slow)
     with Program(tmp_path, endpoint) as node:
         for _ in range(3):
             assert node.hand_in("turn/till-7") == 202
         until(lambda: len(endpoint.calls) == 4)
         assert endpoint.idents() == ["evt-1", "evt-1", "evt-2", "evt-3"]
-        assert all(later[0] - sooner[0] >= 0.1 for sooner, later in zip(endpoint.calls[1:], endpoint.calls[2:]))
+        assert all(
+            later[0] - sooner[0] >= 0.1 for sooner, later in zip(endpoint.calls[1:], endpoint.calls[2:])
+        )
 
 
 def test_a_kept_connection_is_used_again_but_not_near_its_idle_time(tmp_path):
@@ -241,7 +285,10 @@
         until(lambda: new.calls)
         node.discovery.lose_watches()
         until(lambda: node.discovery.watches)
-        assert node.discovery.targets == ["/catalog/members?watch=1&from=1", "/catalog/members?watch=1&from=2"]
+        assert node.discovery.targets == [
+            "/catalog/members?watch=1&from=1",
+            "/catalog/members?watch=1&from=2",
+        ]
         node.discovery.tell(new.entry("DELETED"), old.entry())
         time.sleep(0.2)
         assert node.hand_in() == 202
@@ -264,12 +311,14 @@
 def test_sighup_moves_the_watch_and_the_notices_while_events_are_held(tmp_path):
     old, new, later = Endpoint(503), Endpoint(ident="s-2", cell=2), Endpoint(ident="s-3", cell=3)
     with Program(tmp_path, old, environ={"LB_DISCOVERY": "127.0.0.1:1"}) as node:
-        node.reload()               # the file's own address wins over that of the start
+        node.reload()  # the file's own address wins over that of the start
         until(lambda: node.discovery.watches)
         assert node.hand_in("once", left="1500m") == 202
         first = node.discovery
-        for discovery, endpoint, ident in ((Discovery(new.entry(), old.entry()), new, "evt-2"),
-                                           (Discovery(later.entry(), old.entry()), later, "evt-3")):
+        for discovery, endpoint, ident in (
+            (Discovery(new.entry(), old.entry()), new, "evt-2"),
+            (Discovery(later.entry(), old.entry()), later, "evt-3"),
+        ):
             node.reload("{")
             time.sleep(0.2)
             node.reload(discovery=discovery.address, limits={"sockets": 300})
@@ -292,7 +341,7 @@
         until(lambda: node.discovery.watches)
         held_back = threading.Event()
         silent, ask = node.discovery, node.discovery.answer
-        silent.answer = lambda method, *rest: (held_back.set() if method == "POST" else ask(method, *rest))
+        silent.answer = lambda method, *rest: held_back.set() if method == "POST" else ask(method, *rest)
         assert node.hand_in("once") == 202
         until(held_back.is_set)
         fresh, began = Discovery(endpoint.entry()), time.monotonic()
@@ -368,7 +417,7 @@
 
 
 def test_kills_under_traffic_leave_each_event_with_an_end_and_no_effect_twice(tmp_path):
-    chance, calls = random.Random(5), []        # (id, what it got: 200, 503, 500 or a reset)
+    chance, calls = random.Random(5), []  # (id, what it got: 200, 503, 500 or a reset)
 
     def answer(method, _target, headers, _body):
         if method == "GET":
@@ -377,6 +426,7 @@
         calls.append((headers["x-txn"], said))
         time.sleep(chance.choice([0.0, 0.05, 0.3]))
         return (said, [], b"") if isinstance(said, int) else said
+
     endpoint = Endpoint()
     endpoint.answer = answer
     with Program(tmp_path, endpoint) as node:
@@ -390,9 +440,17 @@
                 assert node.hand_in(stream, ident=ident, left="5000m", **{"Idempotency-Key": ident}) == 202
                 taken[ident] = stream
                 time.sleep(0.02)
-        until(lambda: not set(taken) - set(node.notices()) - {ident for ident, said in calls if said == 200}, 10.0)
-        until(lambda: all(b'E["%s"]' % ident.encode() in node.ledger().read_bytes() or
-                          node.ledger().read_bytes().count(ident.encode()) == 0 for ident in taken))
+        until(
+            lambda: not set(taken) - set(node.notices()) - {ident for ident, said in calls if said == 200},
+            10.0,
+        )
+        until(
+            lambda: all(
+                b'E["%s"]' % ident.encode() in node.ledger().read_bytes()
+                or node.ledger().read_bytes().count(ident.encode()) == 0
+                for ident in taken
+            )
+        )
     for ident in [ident for ident, stream in taken.items() if stream == "once"]:
         said = [said for called, said in calls if called == ident]
         assert all(earlier == 503 for earlier in said[:-1]), said
@@ -402,7 +460,7 @@
 def test_a_decision_outlasts_the_process_until_its_notice_is_answered(tmp_path):
     endpoint = Endpoint(500, 200)
     with Program(tmp_path, endpoint) as node:
-        node.discovery.refusing = 10 ** 6
+        node.discovery.refusing = 10**6
         assert node.hand_in("once") == 202
         until(lambda: b"given_up" in node.ledger().read_bytes())
         node.stop(signal.SIGKILL)
@@ -445,7 +503,7 @@
             assert conn.recv(999).startswith(b"HTTP/1.1 202")
             until(lambda: endpoint.calls)
             resource.prlimit(node.process.pid, resource.RLIMIT_NOFILE, (open_, limit[1]))
-            conn.sendall(node.bytes_of("once"))     # neither a call nor another client gets a descriptor
+            conn.sendall(node.bytes_of("once"))  # neither a call nor another client gets a descriptor
             assert conn.recv(999).startswith(b"HTTP/1.1 202")
             waiting = node.open()
             time.sleep(0.3)
@@ -476,25 +534,40 @@
         until(lambda: endpoint.calls)
 
 
-@pytest.mark.parametrize("data, status", [
-    (b"nonsense\r\n\r\n", 400),
-    (b"POST /notice HTTP/1.1\r\nHost: n\r\nX: " + b"y" * 40000, 431),
-    (b"POST /notice HTTP/1.1\r\nHost: n\r\nContent-Length: 70000\r\n\r\n" + bytes(66000), 413),
-    (b"POST /notice HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n", 400),
-    (b"POST /notice HTTP/1.1\r\nHost: n\r\nContent-Length: -5\r\n\r\n", 400),
-    (b"POST /notice HTTP/1.1\r\nHost: n\r\nContent-Length: 99999999999999999999\r\n\r\n", 413),
-    (b"GET /elsewhere HTTP/1.1\r\nHost: n\r\n\r\n", 404),
-])
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"POST /notice HTTP/1.1\r\nHost: n\r\nX: " + b"y" * 40000, 431),
+        (b"POST /notice HTTP/1.1\r\nHost: n\r\nContent-Length: 70000\r\n\r\n" + bytes(66000), 413),
+        (b"POST /notice HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n", 400),
+        (b"POST /notice HTTP/1.1\r\nHost: n\r\nContent-Length: -5\r\n\r\n", 400),
+        (b"POST /notice HTTP/1.1\r\nHost: n\r\nContent-Length: 99999999999999999999\r\n\r\n", 413),
+        (b"GET /elsewhere HTTP/1.1\r\nHost: n\r\n\r\n", 404),
+    ],
+)
 def test_malformed_requests_get_a_plain_answer(served, data, status):
     assert int(served.raw(data).split()[1]) == status
     assert served.hand_in() == 202
 
 
-@pytest.mark.parametrize("change, status", [
-    ({"X-Remaining": "soon"}, 400), ({"X-Remaining": None}, 400), ({"X-Txn": ""}, 400), ({"X-Txn": "a b"}, 400),
-    ({"X-Route-To": "dest=seven"}, 400), ({"x-txn": "evt-other"}, 400), ({"X-Remaining": "0m"}, 400),
-    ({"X-Remaining": "99999999999m"}, 400), ({"x-lane": "notice"}, 400), ({"X-Lane": "other"}, 400), ({"Idempotency-Key": "k" * 201}, 400),
-    ({"X-Remaining": "-5m"}, 400)])
+@pytest.mark.parametrize(
+    "change, status",
+    [
+        ({"X-Remaining": "soon"}, 400),
+        ({"X-Remaining": None}, 400),
+        ({"X-Txn": ""}, 400),
+        ({"X-Txn": "a b"}, 400),
+        ({"X-Route-To": "dest=seven"}, 400),
+        ({"x-txn": "evt-other"}, 400),
+        ({"X-Remaining": "0m"}, 400),
+        ({"X-Remaining": "99999999999m"}, 400),
+        ({"x-lane": "notice"}, 400),
+        ({"X-Lane": "other"}, 400),
+        ({"Idempotency-Key": "k" * 201}, 400),
+        ({"X-Remaining": "-5m"}, 400),
+    ],
+)
 def test_headers_that_cannot_be_used_are_refused_for_good(served, change, status):
     assert served.hand_in(body=b"of no use", **change) == status
     assert b"of no use" not in served.ledger().read_bytes()
@@ -559,7 +632,7 @@
             crowd[-1].sendall(b"GET /_health HTTP/1.1\r\nHost: n\r\n\r\n")
         clients = [node.open() for _ in range(60)]
         time.sleep(0.05)
-        for conn in clients:        # twice as many as may be held at once, each a moment after its connect
+        for conn in clients:  # twice as many as may be held at once, each a moment after its connect
             conn.sendall(node.bytes_of())
         assert [conn.recv(999)[:12] for conn in clients] == [b"HTTP/1.1 202"] * 60
 
@@ -613,23 +686,47 @@
             assert conn.recv(999).startswith(b"HTTP/1.1 202")
 
 
-@pytest.mark.parametrize("text, said", [
-    (None, "cannot be read"), ("{", "is no JSON"), ("[]", "cannot be read"), ('{"name": "n"}', "lacks"),
-    ('{"name": "n", "listen": "x", "discovery": "y:1"}', "no address"),
-    (json.dumps({"name": "n", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "seed": "7", "state": "/nowhere",
-                 "settings": {}}), "No such file")])
+@pytest.mark.parametrize(
+    "text, said",
+    [
+        (None, "cannot be read"),
+        ("{", "is no JSON"),
+        ("[]", "cannot be read"),
+        ('{"name": "n"}', "lacks"),
+        ('{"name": "n", "listen": "x", "discovery": "y:1"}', "no address"),
+        (
+            json.dumps(
+                {
+                    "name": "n",
+                    "listen": "127.0.0.1:9",
+                    "discovery": "127.0.0.1:9",
+                    "seed": "7",
+                    "state": "/nowhere",
+                    "settings": {},
+                }
+            ),
+            "No such file",
+        ),
+    ],
+)
 def test_a_bad_configuration_is_one_plain_line_and_code_2(tmp_path, text, said):
     path = tmp_path / "config.json"
     if text is not None:
         path.write_text(text)
-    done = subprocess.run([sys.executable, "-m", "swiftthread"], env=os.environ | {"LB_CONFIG": str(path)},
-                          capture_output=True, timeout=20, text=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "swiftthread"],
+        env=os.environ | {"LB_CONFIG": str(path)},
+        capture_output=True,
+        timeout=20,
+        text=True,
+    )
     assert done.returncode == 2 and said in done.stderr and done.stderr.count("\n") == 1
 
 
 def test_a_call_whose_connect_takes_long_does_not_go_into_a_wait_told_meanwhile(tmp_path):
     def order(ident):
         return Sink(ident, 0, Destination(1), 0).order
+
     first, second = sorted(("s-1", "s-2"), key=order)
     gate = threading.Event()
 
@@ -637,17 +734,22 @@
         def _accept(self):
             gate.wait()
             super()._accept()
+
     answer_now = threading.Event()
-    answers = Endpoint(lambda body: answer_now.wait() and (429, [("Retry-After", "1.8")], b""), 200, ident=first)
+    answers = Endpoint(
+        lambda body: answer_now.wait() and (429, [("Retry-After", "1.8")], b""), 200, ident=first
+    )
     slow = Gated(ident=second)
-    slow.listener.listen(0)             # its queue is full until it accepts: the next connect comes up a second later
+    slow.listener.listen(0)  # its queue is full until it accepts: the next connect comes up a second later
     fillers = [socket.socket() for _ in range(3)]
     for filler in fillers:
         filler.setblocking(False)
         filler.connect_ex(slow.listener.getsockname())
     with Program(tmp_path, answers, slow, Permissions={"ConnectTimeout": 4.0, "Probes": False}) as node:
         assert [node.hand_in(left="5000m"), node.hand_in(left="5000m")] == [202, 202]
-        until(lambda: b'O["evt-1"' in node.ledger().read_bytes() and b'O["evt-2"' in node.ledger().read_bytes())
+        until(
+            lambda: b'O["evt-1"' in node.ledger().read_bytes() and b'O["evt-2"' in node.ledger().read_bytes()
+        )
         told_at = time.monotonic()
         answer_now.set()
         gate.set()
--- a/tests/test_owed.py
+++ b/tests/test_owed.py
@@ -1,4 +1,5 @@
 """What one customer or endpoint is told never another's: hand-ins under one id, tenants, kinds; also across a restart."""
+
 import json
 import signal
 
@@ -10,11 +11,22 @@
 from swiftthread.store.ledger import Held, Ledger
 from swiftthread.wire.registry import Registry
 
-REALMS = [{"Name": "north", "QuotaPerS": 0.001, "Share": 0.5}, {"Name": "south", "QuotaPerS": 50.0, "Share": 0.5}]
+REALMS = [
+    {"Name": "north", "QuotaPerS": 0.001, "Share": 0.5},
+    {"Name": "south", "QuotaPerS": 50.0, "Share": 0.5},
+]
 
 
 def held(ident="evt-1", **other):
-    said = {"key": "k", "stream": "once", "dest": 1, "ends_at": 9000.0, "tenant": "north", "subject": 0, "body": b"body"} | other
+    said = {
+        "key": "k",
+        "stream": "once",
+        "dest": 1,
+        "ends_at": 9000.0,
+        "tenant": "north",
+        "subject": 0,
+        "body": b"body",
+    } | other
     return Held(ident, **said)
 
 
@@ -25,7 +37,9 @@
         until(lambda: b'E["crossed"]' in node.ledger().read_bytes())
         node.stop(signal.SIGKILL)
         node.start()
-        assert node.hand_in("once", ident="crossed", left="2000m") == node.hand_in("once", ident="next") == 202
+        assert (
+            node.hand_in("once", ident="crossed", left="2000m") == node.hand_in("once", ident="next") == 202
+        )
         until(lambda: b'E["next"]' in node.ledger().read_bytes())
         assert endpoint.idents() == ["crossed", "next"] and node.notices() == {}
 
@@ -50,8 +64,18 @@
 
 
 @pytest.mark.parametrize("over", [False, True])
-@pytest.mark.parametrize("other", [{"body": b"other"}, {"dest": 2}, {"stream": "notice"}, {"tenant": "south"},
-                                   {"tenant": None}, {"key": "l"}, {"subject": 7}])
+@pytest.mark.parametrize(
+    "other",
+    [
+        {"body": b"other"},
+        {"dest": 2},
+        {"stream": "notice"},
+        {"tenant": "south"},
+        {"tenant": None},
+        {"key": "l"},
+        {"subject": 7},
+    ],
+)
 def test_another_hand_in_under_a_known_id_is_not_the_same(tmp_path, other, over):
     ledger = Ledger(str(tmp_path), 3_000_000, lambda: 1000.0)
     assert ledger.taken(held())
@@ -82,6 +106,7 @@
 def test_who_is_no_tenant_has_no_tenant_s_share(tmp_path):
     def taken(quotas, tenant):
         return Run([], quotas=quotas, over_quota_utility=0.1).inst.node.take(0.0, 0, 0, 9000.0, tenant).weight
+
     assert taken([50.0, 50.0], 1) == taken([], None) == taken([], 0) == taken([None], 0) == IDEMPOTENT.utility
     assert taken([50.0, 50.0], None) == taken([50.0, 50.0], 2) == 0.1 * IDEMPOTENT.utility
     endpoint = Endpoint()
@@ -89,7 +114,11 @@
         for number, org in enumerate(("north", "east", None)):
             assert node.hand_in(**{"X-Org": org}) == 202
             until(lambda: len(endpoint.calls) == number + 1)
-        assert [node.ledger().read_bytes().count(name) for name in (b'"north"', b'"east"', b"null")] == [1, 1, 1]
+        assert [node.ledger().read_bytes().count(name) for name in (b'"north"', b'"east"', b"null")] == [
+            1,
+            1,
+            1,
+        ]
         said = node.said()
         assert "evt-2: tenant 'east' is none of the settings'" in said and "evt-1: tenant" not in said
 
@@ -101,8 +130,13 @@
 async def _kinds():
     registry = Registry(("127.0.0.1", 1), None, {"first": 0, "second": 1}, {"east": 0}, 0.0, 0.0)
     row = {"id": "s-1", "addr": "127.0.0.1:2", "cell": 0, "zone": "east", "state": "SERVING", "weight": 4.0}
-    for kind, batch, apart in (("first", 5, True), ("second", 3, False), ("third", 1, False), (None, 1, False),
-                               (["first"], 1, False)):
+    for kind, batch, apart in (
+        ("first", 5, True),
+        ("second", 3, False),
+        ("third", 1, False),
+        (None, 1, False),
+        (["first"], 1, False),
+    ):
         run = Run([], batch_by_kind=[5, 3], apart_by_kind=[True, False])
         run.list(*registry.entries({"version": 1, "full": True, "servers": [row | {"kind": kind}]}))
         sink = run.inst.node.sinks["s-1"]
@@ -111,8 +145,12 @@
 
 def test_what_was_never_sent_is_handed_back_when_its_stream_type_is_no_more(tmp_path):
     endpoint = Endpoint(None)
-    with Program(tmp_path, endpoint, Profiles=[lane("notice", "retryable"), lane("once", "fragile")],
-                 Domain={"CallsOut": 1}) as node:
+    with Program(
+        tmp_path,
+        endpoint,
+        Profiles=[lane("notice", "retryable"), lane("once", "fragile")],
+        Domain={"CallsOut": 1},
+    ) as node:
         assert node.hand_in("once") == 202
         until(lambda: endpoint.calls)
         assert node.hand_in("once") == 202
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -1,4 +1,5 @@
 """Queues of waiting events: the same decisions as asking for every event, at a cost that does not grow with them."""
+
 import copy
 import math
 import random
@@ -7,20 +8,48 @@
 
 from swiftthread import choice, queues
 from swiftthread.choice import Dispatcher
-from swiftthread.plain import (ACKED, DEDUPLICATED, FULL, IDEMPOTENT, NON_IDEMPOTENT, TIMEOUT, Decline, Discard, Later,
-                               Send, StreamType)
+from swiftthread.plain import (
+    ACKED,
+    DEDUPLICATED,
+    FULL,
+    IDEMPOTENT,
+    NON_IDEMPOTENT,
+    TIMEOUT,
+    Decline,
+    Discard,
+    Later,
+    Send,
+    StreamType,
+)
 from swiftthread.queues import Queues
 
-STREAMS = [StreamType(1500.0, 6000.0, 3.0, effect=IDEMPOTENT),
-           StreamType(3000.0, 8000.0, 1.0, 0.5, effect=DEDUPLICATED, group="zone", window_ms=4000.0),
-           StreamType(3000.0, 8000.0, 1.0, effect=NON_IDEMPOTENT),
-           StreamType(2000.0, 7000.0, 2.0, effect=IDEMPOTENT, in_order=True)]
+STREAMS = [
+    StreamType(1500.0, 6000.0, 3.0, effect=IDEMPOTENT),
+    StreamType(3000.0, 8000.0, 1.0, 0.5, effect=DEDUPLICATED, group="zone", window_ms=4000.0),
+    StreamType(3000.0, 8000.0, 1.0, effect=NON_IDEMPOTENT),
+    StreamType(2000.0, 7000.0, 2.0, effect=IDEMPOTENT, in_order=True),
+]
 
 
 def module(dests=1, rate=50.0, sinks=2, **more):
-    made = Dispatcher(3, **({"streams": STREAMS, "listed_rates": "nominal", "fall_multiple": 2.0, "cold_from": 0.2,
-                             "warm_up_ms": 2000.0, "slots": 16, "room": 10**6} | more))
-    made.listed([(f"s{d}-{n}", d, n % 2, 0, rate, True) for d in range(dests) for n in range(sinks)], True, 0.0)
+    made = Dispatcher(
+        3,
+        **(
+            {
+                "streams": STREAMS,
+                "listed_rates": "nominal",
+                "fall_multiple": 2.0,
+                "cold_from": 0.2,
+                "warm_up_ms": 2000.0,
+                "slots": 16,
+                "room": 10**6,
+            }
+            | more
+        ),
+    )
+    made.listed(
+        [(f"s{d}-{n}", d, n % 2, 0, rate, True) for d in range(dests) for n in range(sinks)], True, 0.0
+    )
     return made
 
 
@@ -123,7 +152,7 @@
 def test_over_its_room_the_least_urgent_are_handed_back():
     made = module(2, rate=1.0, slots=4, room=50)
     waiting = Queues(made)
-    made.take(0.0, 0, 1, 6000.0)        # another queue, a short one
+    made.take(0.0, 0, 1, 6000.0)  # another queue, a short one
     events = [made.take(0.0, number % 2, 0, 3000.0 + 50.0 * number) for number in range(60)]
     span = made.span(events[0].dest, 0.0)
     order = sorted(events, key=lambda evt: made.rank(evt, span, 0.0))
@@ -156,18 +185,30 @@
     """At each turn of a random day, a copy of module and events is asked the old way."""
     monkeypatch.setattr(queues, "RESORT_MS", -1.0)
     monkeypatch.setattr(queues, "RESORT_MS_EACH", 0.0)
-    monkeypatch.setattr(choice, "SHUN_MS", 0.0)     # the end of a shun wakes nobody; it never did
+    monkeypatch.setattr(choice, "SHUN_MS", 0.0)  # the end of a shun wakes nobody; it never did
     rng = random.Random(seed)
-    made = module(4, rate=rng.choice([0.0, 20.0, 60.0]), sinks=3, slots=rng.choice([3, 8, 40]),
-                  key_rest_ms=100.0, warm_up_ms=60_000.0)
+    made = module(
+        4,
+        rate=rng.choice([0.0, 20.0, 60.0]),
+        sinks=3,
+        slots=rng.choice([3, 8, 40]),
+        key_rest_ms=100.0,
+        warm_up_ms=60_000.0,
+    )
     waiting, held, out, now, tickets, same, compared = Queues(made), {}, [], 0.0, 0, 0, 0
     while now < 5000.0:
         now += 5.0
         for at, evt, outcome in [row for row in out if row[0] <= now]:
             out.remove((at, evt, outcome))
             over = outcome == ACKED
-            answer = made.after(evt, outcome, now, 20.0, told=300.0 if outcome == FULL and rng.random() < 0.5 else 0.0,
-                                over=over)
+            answer = made.after(
+                evt,
+                outcome,
+                now,
+                20.0,
+                told=300.0 if outcome == FULL and rng.random() < 0.5 else 0.0,
+                over=over,
+            )
             waiting.stir(evt.dest)
             if isinstance(answer, Later):
                 held[evt] = True
@@ -176,8 +217,13 @@
                 waiting.left(evt)
         if now < 4000.0 and rng.random() < 0.5:
             stream = rng.randrange(4)
-            evt = made.take(now, stream, rng.randrange(4), rng.uniform(800.0, STREAMS[stream].max_age_ms),
-                            subject=rng.randrange(1, 9))
+            evt = made.take(
+                now,
+                stream,
+                rng.randrange(4),
+                rng.uniform(800.0, STREAMS[stream].max_age_ms),
+                subject=rng.randrange(1, 9),
+            )
             evt.ticket, tickets = tickets, tickets + 1
             held[evt] = True
             waiting.add(evt, now)
@@ -185,8 +231,10 @@
         moved = waiting.turn(now)
         # A send elsewhere can let a destination off its part of scarce slots: that is seen at the next outcome, as ever.
         judged = expected is not None and not made.scarce() and not waiting.by_slot
-        seen = [(evt.ticket, type(answer), answer.sink.ident if isinstance(answer, Send) else None)
-                for evt, answer in moved]
+        seen = [
+            (evt.ticket, type(answer), answer.sink.ident if isinstance(answer, Send) else None)
+            for evt, answer in moved
+        ]
         assert not judged or sorted(seen, key=str) == sorted(expected, key=str), (now, seen, expected)
         compared += len(expected) if judged else 0
         same += len(seen)
@@ -197,7 +245,12 @@
                 out.append((now + rng.uniform(5.0, 60.0), evt, outcome))
             else:
                 waiting.left(evt)
-    assert same > 150 and compared > 5 and len(waiting) == len(held) and all(math.isfinite(entry[0]) for entry in waiting.ends.values())
+    assert (
+        same > 150
+        and compared > 5
+        and len(waiting) == len(held)
+        and all(math.isfinite(entry[0]) for entry in waiting.ends.values())
+    )
 
 
 def test_nothing_is_kept_of_events_that_have_left():
@@ -218,7 +271,9 @@
 
 
 def test_those_behind_an_event_that_joins_no_call_join_it_all_the_same():
-    made = module(rate=4.0, sinks=1, batch_by_kind=[5], streams=[StreamType(1500.0, 10000.0, effect=IDEMPOTENT)])
+    made = module(
+        rate=4.0, sinks=1, batch_by_kind=[5], streams=[StreamType(1500.0, 10000.0, effect=IDEMPOTENT)]
+    )
     waiting = Queues(made)
     first, short, last = events = [made.take(0.0, 0, 0, left) for left in (9000.0, 500.0, 10000.0)]
     assert sorted(events, key=lambda evt: made.rank(evt, 1000.0, 0.0)) == events
@@ -229,9 +284,11 @@
 
 def test_an_event_asked_out_of_order_that_comes_back_moves_once():
     """quay-three calm+brink: it stood in its group by two rows, was handed back by both, and the turn broke off there."""
-    made = module(2, rate=4.0, sinks=1, batch_by_kind=[5], streams=[StreamType(1500.0, 10000.0, effect=IDEMPOTENT)])
+    made = module(
+        2, rate=4.0, sinks=1, batch_by_kind=[5], streams=[StreamType(1500.0, 10000.0, effect=IDEMPOTENT)]
+    )
     waiting = Queues(made)
-    made.take(0.0, 0, 1, 9000.0)        # another queue, a short one
+    made.take(0.0, 0, 1, 9000.0)  # another queue, a short one
     first, short, last = events = [made.take(0.0, 0, 0, left) for left in (9000.0, 500.0, 10000.0)]
     for evt in events:
         waiting.add(evt, 0.0)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -1,4 +1,5 @@
 """The watch when it falls silent, dribbles, breaks off or says what cannot be read; and endpoints listed anew."""
+
 import json
 import math
 import threading
@@ -16,7 +17,15 @@
 from swiftthread.wire.courier import Courier
 from swiftthread.wire.registry import MOST_DOUBTFUL, MOST_LIST, Lists, Registry
 
-ROW = {"id": "s-1", "addr": "127.0.0.1:2", "cell": 0, "zone": "east", "kind": "plain", "state": "SERVING", "weight": 4.0}
+ROW = {
+    "id": "s-1",
+    "addr": "127.0.0.1:2",
+    "cell": 0,
+    "zone": "east",
+    "kind": "plain",
+    "state": "SERVING",
+    "weight": 4.0,
+}
 PAGE = {"version": 3, "full": True, "servers": [ROW, ROW | {"id": "s-2"}]}
 
 
@@ -31,9 +40,20 @@
     assert lists(f"\n{text}\n\n  {text}  \n") == [PAGE, PAGE]
 
 
-@pytest.mark.parametrize("text", ['{"version": 7, "servers": [{"id"\n\n', '{"version": 7\n{"version": 8, "servers": []}\n',
-                                  "7\n", "[]\n", '[{"servers": []}]\n', "HTTP/1.1 200 OK\n", "}\n", '{"a": }\n',
-                                  "{\n" + '"a": 1,\n' * (MOST_LIST // 8)])
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"version": 7, "servers": [{"id"\n\n',
+        '{"version": 7\n{"version": 8, "servers": []}\n',
+        "7\n",
+        "[]\n",
+        '[{"servers": []}]\n',
+        "HTTP/1.1 200 OK\n",
+        "}\n",
+        '{"a": }\n',
+        "{\n" + '"a": 1,\n' * (MOST_LIST // 8),
+    ],
+)
 def test_what_is_no_list_is_told_as_such_and_never_waited_for(text):
     with pytest.raises(ValueError):
         lists(text)
@@ -41,6 +61,7 @@
 
 def entries(*pages):
     """What a registry makes of each page, and the registry."""
+
     async def read():
         registry, found = Registry(("127.0.0.1", 1), None, {"plain": 0}, {"east": 0, "west": 1}, 0.0, 0.0), []
         for page in pages:
@@ -49,12 +70,22 @@
             except (ValueError, KeyError, TypeError, AttributeError) as fault:
                 found.append(fault)
         return registry, found
+
     return anyio.run(read)
 
 
-@pytest.mark.parametrize("page", [{}, {"full": True}, {"version": 9, "full": True, "servers": None}, 7, [PAGE],
-                                  {"version": 9, "full": True, "servers": {"s-3": ROW}},
-                                  {"version": "nine", "full": True, "servers": []}])
+@pytest.mark.parametrize(
+    "page",
+    [
+        {},
+        {"full": True},
+        {"version": 9, "full": True, "servers": None},
+        7,
+        [PAGE],
+        {"version": 9, "full": True, "servers": {"s-3": ROW}},
+        {"version": "nine", "full": True, "servers": []},
+    ],
+)
 def test_a_page_that_is_no_list_changes_nothing(page):
     registry, (_, said) = entries(PAGE, page)
     assert isinstance(said, Exception)
@@ -62,15 +93,21 @@
 
 
 @pytest.mark.parametrize("full", [False, True])
-@pytest.mark.parametrize("wrong", [{"addr": "nowhere"}, {"cell": None}, {"weight": "much"}, {"state": None, "addr": 5}])
+@pytest.mark.parametrize(
+    "wrong", [{"addr": "nowhere"}, {"cell": None}, {"weight": "much"}, {"state": None, "addr": 5}]
+)
 def test_a_known_endpoint_whose_entry_cannot_be_read_gets_nothing_new(full, wrong):
-    registry, (_, (found, whole)) = entries(PAGE, {"version": 4, "full": full, "servers": [ROW | wrong, 7, {"id": 5}]})
+    registry, (_, (found, whole)) = entries(
+        PAGE, {"version": 4, "full": full, "servers": [ROW | wrong, 7, {"id": 5}]}
+    )
     run = Run([], streams=[])
     run.inst.node.listed(*entries(PAGE)[1][0], 0.0)
     run.inst.node.sinks["s-1"].heard = 0.5
     run.inst.node.listed(found, whole, 1.0)
     assert not run.inst.node.sinks["s-1"].ready and run.inst.node.sinks["s-1"].zone == 0
-    assert [sink.ident for sink in run.inst.node.dests[0].sinks] == ([] if full else ["s-2"]) and registry.doubtful == 1
+    assert [sink.ident for sink in run.inst.node.dests[0].sinks] == (
+        [] if full else ["s-2"]
+    ) and registry.doubtful == 1
 
 
 def test_a_change_with_an_unreadable_entry_has_the_whole_list_asked_for(tmp_path):
@@ -121,6 +158,7 @@
         with anyio.move_on_after(5.0):
             assert await registry.watch(None)
         return time.monotonic() - began
+
     took = anyio.run(watch)
     done.set()
     assert 0.25 < took < 2.0 and len(told) > 3
@@ -145,7 +183,11 @@
     node._told(old.key, 3000.0)
     node.listed([("a", 0, 0, then, 4.0, True)], False, 10.0)
     new = node.sinks["a"]
-    assert new is not old and (new.apart, new.batch) == (then == 1, 1 if then else 5) and new.key.blocked == 3000.0
+    assert (
+        new is not old
+        and (new.apart, new.batch) == (then == 1, 1 if then else 5)
+        and new.key.blocked == 3000.0
+    )
     assert node.leaves_by(evt, old, 3500.0) == -math.inf
     node.after(evt, "timeout", 3600.0, 3600.0)
     assert node.lost == {} and not new.down and new.out == 0
@@ -159,12 +201,23 @@
             if moves:
                 addresses["a"] = ("127.0.0.1", 1)
             return 200, [], b""
+
         host, port = Speaker(answer).address.split(":")
         addresses["a"] = (host, int(port))
         lines = Lines(lambda: 0.0, 1000.0, 4)
-        courier = Courier(None, lines, Buffers(), lambda: 0.0, lambda: 0.0, addresses,
-                          limits.Limits({}, 8, 5000.0, 1500.0), (), None)
+        courier = Courier(
+            None,
+            lines,
+            Buffers(),
+            lambda: 0.0,
+            lambda: 0.0,
+            addresses,
+            limits.Limits({}, 8, 5000.0, 1500.0),
+            (),
+            None,
+        )
         end = await courier.probe(Sink("a", 0, Destination(0), 0))
         lines.close_all()
         return end.outcome
+
     assert [anyio.run(probed, moves) for moves in (False, True)] == ["acked", "timeout"]
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,4 +1,5 @@
 """Lists of 1,024 endpoints, and 1,024 as the number of nodes: what a node is told it fits into, whatever the size."""
+
 import json
 import os
 import socket
@@ -22,19 +23,30 @@
 def test_a_thousand_endpoints_and_nodes_fit_into_what_a_node_is_told(tmp_path):
     """At the start, in one line of the watch, and as changes; with an event for the last of them."""
     real = [Endpoint(ident=f"s-real-{number}", cell=MANY) for number in range(2)]
-    rows = [real[0].entry(weight=50.0) | {"id": f"s-{number:08x}", "cell": 1 + number // 2} for number in range(MANY - 2)]
+    rows = [
+        real[0].entry(weight=50.0) | {"id": f"s-{number:08x}", "cell": 1 + number // 2}
+        for number in range(MANY - 2)
+    ]
     rows += [endpoint.entry(weight=50.0) for endpoint in real]
-    with Program(tmp_path, Balancers=MANY, Position=MANY - 1, Weights="nominal", known=False,
-                 limits={"memory_mb": 32, "sockets": 256}) as node:
+    with Program(
+        tmp_path,
+        Balancers=MANY,
+        Position=MANY - 1,
+        Weights="nominal",
+        known=False,
+        limits={"memory_mb": 32, "sockets": 256},
+    ) as node:
         until(lambda: node.discovery.watches)
         node.discovery.tell(*rows)
         until(lambda: node.hand_in(dest=MANY) == 202)
         until(lambda: len(real[0].calls) + len(real[1].calls) == 1)
         for begin in range(0, MANY - 2, 64):
-            node.discovery.tell(*[row | {"state": "DRAINING"} for row in rows[begin:min(begin + 64, MANY - 2)]])
+            node.discovery.tell(
+                *[row | {"state": "DRAINING"} for row in rows[begin : min(begin + 64, MANY - 2)]]
+            )
         node.discovery.tell(rows[-1] | {"state": "DELETED"})
         time.sleep(0.2)
-        for _ in range(4):           # its part is two calls a second
+        for _ in range(4):  # its part is two calls a second
             assert node.hand_in(dest=MANY) == 202
         until(lambda: len(real[0].calls) + len(real[1].calls) == 5)
         assert len(real[1].calls) <= 1
@@ -47,6 +59,7 @@
 
 def test_a_list_of_a_thousand_costs_about_its_length():
     """Each endpoint that came had all of its destination's sorted anew."""
+
     def compared(size):
         run, seen = Run([]).play(0.0), [0]
 
@@ -54,16 +67,26 @@
             def __lt__(self, other):
                 seen[0] += 1
                 return float(self) < float(other)
+
         run.inst.node.fees = [Rank(0.0)]
         run.inst.node.apart_by_kind = [True]
         run.inst.node.listed([(f"s-{number}", 0, 0, 0, 0.0, True) for number in range(size)], True, 0.0)
         return seen[0]
+
     assert compared(MANY) < 15 * MANY
 
 
 def test_what_is_read_of_a_list_has_room_for_far_more_than_a_thousand():
-    row = {"id": "s" * 64, "addr": "127.255.255.255:65535", "zone": "z" * 64, "kind": "k" * 64, "cell": 10 ** 6,
-           "state": "DRAINING", "weight": 1234.56789, "started_ms": 1796164699085}
+    row = {
+        "id": "s" * 64,
+        "addr": "127.255.255.255:65535",
+        "zone": "z" * 64,
+        "kind": "k" * 64,
+        "cell": 10**6,
+        "state": "DRAINING",
+        "weight": 1234.56789,
+        "started_ms": 1796164699085,
+    }
     assert len(str(row)) * MANY * 4 < MOST_LIST
 
 
@@ -79,7 +102,7 @@
         pytest.skip("the kernel lets fewer wait")
     endpoint = Endpoint()
     with Program(tmp_path, endpoint, limits={"sockets": 96}) as node:
-        node.process.send_signal(19)        # SIGSTOP: nobody is accepted meanwhile
+        node.process.send_signal(19)  # SIGSTOP: nobody is accepted meanwhile
         conns = [socket.socket() for _ in range(900)]
         began = time.monotonic()
         for conn in conns:
@@ -95,38 +118,62 @@
 def test_a_zone_that_the_settings_do_not_name_is_a_group_of_its_own():
     async def zones(*names):
         registry = Registry(("127.0.0.1", 1), None, {}, {"east": 0, "west": 1}, 0.0, 0.0)
-        rows = [{"id": f"s-{number}", "addr": "127.0.0.1:9", "cell": 1, "state": "SERVING"} | ({"zone": name} if name != "-"
-                else {}) for number, name in enumerate(names)]
+        rows = [
+            {"id": f"s-{number}", "addr": "127.0.0.1:9", "cell": 1, "state": "SERVING"}
+            | ({"zone": name} if name != "-" else {})
+            for number, name in enumerate(names)
+        ]
         return [row[2] for row in registry.entries({"version": 1, "full": True, "servers": rows})[0]]
+
     names = "east", "west", "north", "north", "south", "-", None, ["east"], 7
     seen = anyio.run(zones, *names)
     assert seen[:2] == [0, 1] and seen[2] == seen[3] and len(set(seen)) == len(seen) - 1
-    assert anyio.run(zones, *names) == seen      # also after a restart
+    assert anyio.run(zones, *names) == seen  # also after a restart
 
 
 def test_events_of_an_unnamed_zone_pay_no_fee_and_go_on():
-    run = Run([("a", 0, 70000, 0, 0.0, True)], streams=[IDEMPOTENT], apart_by_kind=[True], carriage_by_zone=[0.1, 0.2])
+    run = Run(
+        [("a", 0, 70000, 0, 0.0, True)],
+        streams=[IDEMPOTENT],
+        apart_by_kind=[True],
+        carriage_by_zone=[0.1, 0.2],
+    )
     run.at(1.0, run.take, 1)
     assert any("acked 1 at a" in line for line in run.play(500.0).lines)
 
 
-@pytest.mark.parametrize("profile, said", [
-    ({"Effect": "unique"}, "Effect is none of retryable, dedup, fragile: 'unique'; it is held to be non-idempotent"),
-    ({"Group": "continent"}, "Group is none that is known: 'continent'; each endpoint is a group of its own"),
-    ({"Window": None}, "nothing that may have run is sent again")])
+@pytest.mark.parametrize(
+    "profile, said",
+    [
+        (
+            {"Effect": "unique"},
+            "Effect is none of retryable, dedup, fragile: 'unique'; it is held to be non-idempotent",
+        ),
+        (
+            {"Group": "continent"},
+            "Group is none that is known: 'continent'; each endpoint is a group of its own",
+        ),
+        ({"Window": None}, "nothing that may have run is sent again"),
+    ],
+)
 def test_what_is_unclear_of_a_stream_type_is_read_the_cautious_way_and_named(tmp_path, profile, said):
     first, second = Endpoint("reset", "reset"), Endpoint("reset", "reset", ident="s-2")
-    with Program(tmp_path, first, second,
-                 Profiles=[lane("posting", "dedup", Window=3.0, Group="zone") | profile]) as node:
+    with Program(
+        tmp_path, first, second, Profiles=[lane("posting", "dedup", Window=3.0, Group="zone") | profile]
+    ) as node:
         assert node.hand_in("posting", left="2000m", **{"Idempotency-Key": "k"}) == 202
         until(lambda: node.notices() == {"evt-1": "given_up"})
         assert not (first.calls and second.calls)
         assert f"the settings' Profiles[0] (posting): " in (text := node.said()) and said in text
 
 
-@pytest.mark.parametrize("profile", [{"Window": float("nan")}, {"Window": "3 s"}, {"Deadline": float("inf")}, {"Effect": []}])
+@pytest.mark.parametrize(
+    "profile", [{"Window": float("nan")}, {"Window": "3 s"}, {"Deadline": float("inf")}, {"Effect": []}]
+)
 def test_a_length_of_time_that_is_none_ends_the_start_in_one_line(tmp_path, profile):
-    program = Program(tmp_path, Endpoint(), Profiles=[lane("a", "retryable"), lane("b", "dedup", Window=3.0) | profile])
+    program = Program(
+        tmp_path, Endpoint(), Profiles=[lane("a", "retryable"), lane("b", "dedup", Window=3.0) | profile]
+    )
     with pytest.raises(AssertionError) as told:
         program.start()
     program.process.wait(), program.process.stderr.close(), program.discovery.listener.close()
