Running statistics and the instance's settings leave the policy as plain types

SmoothedRate, RecentCount and SlidingMedian hold no decision; Settings names each field with its type and default.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -11,7 +11,6 @@
 import math
 import random
 from collections import deque
-from statistics import median
 
 from swiftthread.plain import (
     ACKED,
@@ -35,8 +34,10 @@
     Event,
     Later,
     Send,
+    Settings,
     Wait,
 )
+from swiftthread.statistics import RecentCount, SlidingMedian, SmoothedRate
 
 # Constants. Those marked "page" are the design page's, the rest are ours.
 GROW = 0.08  # x first rate each second: clean growth past the level; slow beside a halving
@@ -84,12 +85,15 @@
         if listed:
             self.hold_true(listed, nodes, sure)
         self.rate = self.level = self.even  # None: unpaced until the first cut
-        self.acks = deque()  # moments; emptied after a second
-        self.took, self.low, self.usual = deque(maxlen=WINDOW), None, USUAL_MS
-        self.since, self.run, self.left, self.served = 0, 0, 1.0, True  # served: an ack since the last cut
+        self.acks, self.usual_rate = RecentCount(CLEAN_MS), SmoothedRate(USUAL_SPAN_MS)
+        self.latency, self.low = SlidingMedian(WINDOW, USUAL_MS), None
+        self.run, self.left, self.served = 0, 1.0, True  # served: an ack since the last cut
         self.ride = (None, -math.inf, 0)  # call that others may join this turn
-        self.part, self.part_at, self.owed = 0.0, 0.0, 0.0  # usual acked calls per ms; at its last outage
-        self.out_since = self.cold_due = -math.inf  # when that began, and the next cold send
+        self.owed, self.out_since = (
+            0.0,
+            -math.inf,
+        )  # usual acked calls per ms at its last outage; when that began
+        self.cold_due = -math.inf  # the next cold send
 
     def hold_true(self, listed, nodes, sure):
         """Calls per ms, a node's part among those busy there at a time (`even`), among all (`fair`)."""
@@ -112,8 +116,7 @@
         if now - self.changed < CLEAN_MS:
             return
         if self.rate is None:
-            served = sum(now - at <= 1000.0 for at in self.acks) / 1000.0
-            self.rate = self.level = max(LEAST_RATE / CUT, served)
+            self.rate = self.level = max(LEAST_RATE / CUT, self.acks.count(now) / CLEAN_MS)
             self.due = now + 1.0 / self.rate  # nothing was booked while it was unpaced
         # Refusals lead to the even part, not below, unless nothing was served since: then the list is wrong.
         due = self.fair * self.sure if self.even and self.served else LEAST_RATE / 4
@@ -125,15 +128,10 @@
 
     def acked(self, now, latency, slow_everywhere):
         self.run, self.served = 0, True
-        self.part, self.part_at = self.pace(now) + 1 / USUAL_SPAN_MS, now
-        self.acks.append(now)
-        while now - self.acks[0] > 1000.0:
-            self.acks.popleft()
-        self.took.append(latency)
-        self.usual = median(self.took)
-        self.since = (self.since + 1) % (WINDOW // 2)
-        if self.since == 0 and len(self.took) == WINDOW:
-            self.low = min(self.usual, self.low * 1.03 if self.low else self.usual)
+        self.usual_rate.add(now)
+        self.acks.add(now)
+        if self.latency.add(latency):
+            self.low = min(self.latency.value, self.low * 1.03 if self.low else self.latency.value)
             # Guards against a rise seen everywhere at once: that is not this destination's overload.
             if self.risen() and not slow_everywhere():
                 self.cut(now, False)
@@ -149,14 +147,10 @@
 
     def quiet(self):
         """Ms without an outcome after which calls out are more than slow."""
-        return max(QUIET_MS, QUIET_CALLS * self.usual)
-
-    def pace(self, now):
-        """Calls per ms that this node usually gets acked here."""
-        return self.part * math.exp((self.part_at - now) / USUAL_SPAN_MS)
+        return max(QUIET_MS, QUIET_CALLS * self.latency.value)
 
     def risen(self):
-        return self.low is not None and self.usual > max(RISEN * self.low, self.low + RISE_MS)
+        return self.low is not None and self.latency.value > max(RISEN * self.low, self.low + RISE_MS)
 
 
 class Sink:
@@ -177,55 +171,28 @@
 class Dispatcher:
     """The decisions of one delivery node."""
 
-    def __init__(
-        self,
-        seed,
-        *,
-        streams=(),
-        nodes=1,
-        position=0,
-        slots=math.inf,
-        room=math.inf,
-        most_sends=8,
-        batch_by_kind=(),
-        apart_by_kind=(),
-        carriage_by_zone=(),
-        halving=False,
-        listed_rates="off",
-        quotas=(),
-        over_quota_utility=1.0,
-        may_probe=False,
-        may_advise=False,
-        most_advice_ms=0.0,
-        asks_for_list=False,
-        fall_multiple=1.0,
-        cold_from=0.15,
-        warm_up_ms=20000.0,
-        key_rest_ms=0.0,
-        tick_ms=5.0,
-        keepalive_ms=math.inf,
-        connect_ms=0.0,
-    ):
+    def __init__(self, seed, **settings):
+        self.told = told = Settings(**settings)
         self.spread = random.Random(seed).uniform
-        self.streams, self.nodes, self.position = list(streams), max(1, nodes), position
-        self.slots, self.room, self.most_sends = slots, room * CROWDED, most_sends
-        self.batch_by_kind, self.apart_by_kind = list(batch_by_kind), list(apart_by_kind)
+        self.streams, self.nodes, self.position = list(told.streams), max(1, told.nodes), told.position
+        self.slots, self.room, self.most_sends = told.slots, told.room * CROWDED, told.most_sends
         utility = sum(s.utility for s in self.streams)
         self.busy = BUSY * sum(s.utility * s.slo_ms for s in self.streams) / utility if utility else 1000.0
-        self.fees = [fee * utility / max(1, len(self.streams)) for fee in carriage_by_zone]  # utility units
-        self.halving, self.has_rates = halving, listed_rates in ("nominal", "rough")
-        self.over_quota, self.longest = over_quota_utility, max([s.max_age_ms for s in self.streams] or [1e3])
-        self.quota = [[1000.0 * self.nodes / q if q else 0.0, 0.0] for q in quotas]  # [interval, due]
-        self.may_probe, self.most_advice = may_probe, most_advice_ms if may_advise else 0.0
-        self.listing_at = 0.0 if asks_for_list else math.inf
-        self.sure = ROUGH_SURE if listed_rates == "rough" else 1.0
-        self.multiple, self.cold_from, self.warm_up = fall_multiple, cold_from, max(1.0, warm_up_ms)
-        self.key_rest, self.margin, self.keepalive = key_rest_ms, max(MARGIN_MS, 2 * tick_ms), keepalive_ms
+        self.fees = [
+            fee * utility / max(1, len(self.streams)) for fee in told.carriage_by_zone
+        ]  # utility units
+        self.has_rates = told.listed_rates in ("nominal", "rough")
+        self.longest = max([s.max_age_ms for s in self.streams] or [1e3])
+        self.quota = [[1000.0 * self.nodes / q if q else 0.0, 0.0] for q in told.quotas]  # [interval, due]
+        self.most_advice = told.most_advice_ms if told.may_advise else 0.0
+        self.listing_at = 0.0 if told.asks_for_list else math.inf
+        self.sure = ROUGH_SURE if told.listed_rates == "rough" else 1.0
+        self.warm_up, self.margin = max(1.0, told.warm_up_ms), max(MARGIN_MS, 2 * told.tick_ms)
         self.dests, self.sinks = {}, {}  # by number, as the list names them; sinks leave when long gone
         self.turns = {}  # subject -> [events in order taken, rest until]; emptied when over and rested
         self.lost = {}  # sinks that are down, in the order they went; emptied by an ack or the list
         self.idle = {}  # sinks whose last call out has ended; emptied each turn
-        self.connect, self.out, self.held = AT_ONCE * connect_ms, 0, 0
+        self.connect, self.out, self.held = AT_ONCE * told.connect_ms, 0, 0
 
     def take(self, now, stream_no, dest_no, left, tenant=None, subject=0):
         """Hold an event. `tenant`: its place among the quotas; None is none of them."""
@@ -245,7 +212,7 @@
         # Who is no tenant has no share, least of all another's: all of it is beyond one.
         share = self.quota[tenant] if tenant is not None and tenant < len(self.quota) else [0.0, math.inf]
         if share[1] > now + 2000.0:  # over its share by two seconds of it: worth little
-            return stream.utility * self.over_quota
+            return stream.utility * self.told.over_quota_utility
         share[1] = max(now, share[1]) + share[0] if share[0] else 0.0
         return stream.utility
 
@@ -253,7 +220,7 @@
         named, grown = set(), {}
         for ident, dest_no, zone, kind, rate, ready in entries:
             dest, blocked = self.dests.setdefault(dest_no, Destination(dest_no)), -math.inf
-            apart = bool(kind < len(self.apart_by_kind) and self.apart_by_kind[kind])
+            apart = bool(kind < len(self.told.apart_by_kind) and self.told.apart_by_kind[kind])
             if (old := self.sinks.get(ident)) and (old.dest is not dest or old.apart != apart):
                 self._gone(self.sinks.pop(ident))  # under its id it serves another now, or as another kind
                 self.lost.pop(old, None)
@@ -274,7 +241,7 @@
             sink.key.named = listed or sink.key.named  # as the list names it, not as reports correct it
             sink.key.blocked = max(sink.key.blocked, blocked)  # a told wait outlasts the change
             sink.apart, sink.ready, sink.zone = apart, ready, zone  # it may come back elsewhere
-            sink.batch = self.batch_by_kind[kind] if kind < len(self.batch_by_kind) else 1
+            sink.batch = self.told.batch_by_kind[kind] if kind < len(self.told.batch_by_kind) else 1
             sink.fee = self.fees[zone] if apart and zone < len(self.fees) else 0.0
             if ready and sink not in dest.sinks:
                 grown[dest] = dest.sinks = dest.sinks + [sink]
@@ -391,7 +358,7 @@
             if evt.maybe_at is None:
                 evt.maybe_at, evt.maybe_group = evt.sent_at, evt.sent_group
             if evt.subject and outcome != ERROR:
-                self.turns[evt.subject][1] = now + self.key_rest
+                self.turns[evt.subject][1] = now + self.told.key_rest_ms
         if over or evt.over:
             self._end(evt)
             return None
@@ -418,13 +385,13 @@
     def _idles(self, sink, now):
         """Whether a connection there would idle most of the time. Not while events wait; where no end of that
         is told it may."""
-        used = sink.key.pace(now) * max(sink.key.usual, PLACE_MS)
-        return self.keepalive < math.inf and not sink.dest.held and used <= USED
+        used = sink.key.usual_rate.at(now) * max(sink.key.latency.value, PLACE_MS)
+        return self.told.keepalive_ms < math.inf and not sink.dest.held and used <= USED
 
     def _wants_probe(self, sink):
         # Only a sink that went silent: elsewhere an event that is tried loses nothing.
         return (
-            self.may_probe
+            self.told.may_probe
             and sink.down
             and sink.silent
             and sink.ready
@@ -449,7 +416,7 @@
 
     def _value(self, evt, at):
         stream, late, worth = evt.stream, max(0.0, at - evt.slo_at), evt.weight * (at <= evt.ends_at)
-        if self.halving:
+        if self.told.halving:
             return worth * max(stream.late_utility, 0.5 ** (late / max(1.0, stream.slo_ms)))
         part = min(1.0, late / max(1.0, stream.max_age_ms - stream.slo_ms))
         return worth * (1 - (1 - stream.late_utility) * part)
@@ -491,7 +458,7 @@
             def worth(row):
                 queue = evt.dest.held / row[0].key.rate if row[1] > now and row[0].key.rate else 0.0
                 start = max(row[1], now) + queue
-                return self._value(evt, start + row[0].key.usual) - row[0].fee, -start
+                return self._value(evt, start + row[0].key.latency.value) - row[0].fee, -start
 
             best = max(rows, key=worth)
             if best[1] > now:
@@ -507,14 +474,14 @@
         tried = min((s.run for s in ready if s.down), default=0)
         ready = [s for s in ready if not s.down or s.run == tried]
         # The first in rank has enough with its part of the calls that the key keeps busy.
-        enough = max(1.0, (evt.dest.key.rate or 0.004) * evt.dest.key.usual / len(evt.dest.sinks))
+        enough = max(1.0, (evt.dest.key.rate or 0.004) * evt.dest.key.latency.value / len(evt.dest.sinks))
         return next((s for s in ready if s.out < enough), None) or min(ready, key=lambda s: s.out), now, False
 
     def _moment(self, sink, now):
         """When this sink may get a call: inf means after some outcome."""
         key = sink.key
         if sink.down:
-            if sink.out or sink.probing or (self.may_probe and sink.silent and not sink.proved):
+            if sink.out or sink.probing or (self.told.may_probe and sink.silent and not sink.proved):
                 return math.inf
             return max(now if sink.proved or not sink.run else key.cold_due, key.ready_at())
         if sink.out and now - sink.heard > key.quiet() * (1 if sink.out > 1 else 2):
@@ -548,10 +515,10 @@
         probes and events: the mean of its usual share and an even one among the nodes that can have met the
         outage. Both add up, however many nodes there are. Hurts where others leave theirs unused."""
         key, since = sink.key, 0.0 if sink.down else now - sink.cold_since
-        present = self.cold_from + (1 - self.cold_from) * since / self.warm_up
+        present = self.told.cold_from + (1 - self.told.cold_from) * since / self.warm_up
         busy = max(key.busy, now - key.out_since)
         share = key.among(busy, self.nodes) if key.listed else key.owed or LEAST_RATE
-        return self.spread(0.8, 1.2) / (self.multiple * key.sure * present * (key.owed + share) / 2)
+        return self.spread(0.8, 1.2) / (self.told.fall_multiple * key.sure * present * (key.owed + share) / 2)
 
     def _shares(self, evt, sink, now):
         """Whether it may travel with others. Guards them: a call ends for all when the time of one of its
@@ -569,7 +536,7 @@
         if evt.stream.effect == NON_IDEMPOTENT:
             return max(1.0, rest)  # a time-out would only end it: nothing may follow
         cold = 2.0 if now - sink.cold_since < self.warm_up else 1.0
-        allow = min(cold * (ALLOW_MS + ALLOW_CALLS * sink.key.usual), ALLOW_MOST_MS)
+        allow = min(cold * (ALLOW_MS + ALLOW_CALLS * sink.key.latency.value), ALLOW_MOST_MS)
         most = (
             ALLOW_REST * evt.stream.window_ms
             if evt.stream.effect == DEDUPLICATED
@@ -644,7 +611,7 @@
         if not any(s.down or now - s.cold_since < self.warm_up for s in [sink, *beside]):
             # It may have begun any time since the last ack, and it does not lessen the usual part.
             key.out_since = max(now - self.warm_up, *(s.acked_at for s in [sink, *beside]))
-            key.owed = key.pace(sink.run_since if sink.run else now)
+            key.owed = key.usual_rate.at(sink.run_since if sink.run else now)
         for other in beside:
             if shut or other.acked_at < now - self.warm_up / 2:
                 other.down = self.lost[other] = True
--- a/swiftthread/lab/referee.py
+++ b/swiftthread/lab/referee.py
@@ -24,6 +24,8 @@
 
 
 class Breach(NamedTuple):
+    """One broken rule: which, when, and what was seen."""
+
     rule: str
     at: float
     text: str
--- a/swiftthread/plain.py
+++ b/swiftthread/plain.py
@@ -6,6 +6,9 @@
 time are milliseconds with fractions; moments are read off one clock that only goes forward.
 """
 
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import NamedTuple
 
 # How a send can end, whatever the protocol calls it.
@@ -62,6 +65,36 @@
     in_order: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class Settings:
+    """What an instance is told at start. Times are in ms; what is left out has the value that binds least."""
+
+    streams: Sequence[StreamType] = ()
+    nodes: int = 1
+    position: int = 0
+    slots: float = math.inf
+    room: float = math.inf
+    most_sends: int = 8
+    batch_by_kind: Sequence[int] = ()
+    apart_by_kind: Sequence[bool] = ()
+    carriage_by_zone: Sequence[float] = ()
+    halving: bool = False
+    listed_rates: str = "off"
+    quotas: Sequence[float | None] = ()
+    over_quota_utility: float = 1.0
+    may_probe: bool = False
+    may_advise: bool = False
+    most_advice_ms: float = 0.0
+    asks_for_list: bool = False
+    fall_multiple: float = 1.0
+    cold_from: float = 0.15
+    warm_up_ms: float = 20000.0
+    key_rest_ms: float = 0.0
+    tick_ms: float = 5.0
+    keepalive_ms: float = math.inf
+    connect_ms: float = 0.0
+
+
 class Event:
     """An event in hand. The ticket is the door's; all else is kept by the decisions."""
 
