A list that could not be had is asked for again with exponential backoff, where asked for

Of some 700 calls in 20 s about 5 in 6 were turned away at once (28 ms), the rest, 12 each 2 s, all answered 503 after 2,000 ms, discovery's time-out.

n5 13.133 W open 13.161 W end 503 28 ms 14.100 W open 14.128 W end 503 28 ms 16.074 W open 18.074 W end 503 2000 ms 18.622 W open 18.650 W end 503 28 ms

A model of it (one queue, calls turned away that would wait over the time-out, a refusal costs a fifth of an answer) stays at the edge of its time-out for good with pauses of 0.3 to 0.9 s.

Line at fault: choice.list_failed, 300 to 900 ms however often it failed. Now the pause doubles from 1 s (+-50 %) to Obligations.AskWithin where lists are asked for; a list starts it anew. Pushed lists come from an agent on the node's own machine: 100 to 300 ms. node.follow sleeps to that moment instead of looking each 20 ms.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -71,6 +71,11 @@
 SHUT_MS, REFUSED_RUN = 2100.0, 1  # ms told to wait, or refused in a row for that long: shut; fewer are chance
 SHUN_MS = 5000.0  # ms for which a stream type goes past an endpoint that failed it; some SLO times
 SCARCE = 0.7  # of the slots: from here no destination may take more than half of those out
+PUSHED_PAUSE_MS, ASKED_PAUSE_MS = (
+    200.0,
+    1000.0,
+)  # ms, mean, before a list is asked for again; local, or shared
+PAUSE_SPREAD = 0.5  # of that pause, either way: nodes that lost their lists together must not ask together
 CROWDED = 0.92  # of the holding room: from here the longest queues are declined
 MARGIN_MS = 12.0  # ms before a bound at which the event is answered; two turns of the caller
 
@@ -186,6 +191,10 @@
         self.quota = [[1000.0 * self.nodes / q if q else 0.0, 0.0] for q in told.quotas]  # [interval, due]
         self.most_advice = told.most_advice_ms if told.may_advise else 0.0
         self.listing_at = 0.0 if told.asks_for_list else math.inf
+        first = ASKED_PAUSE_MS if told.asks_for_list else PUSHED_PAUSE_MS
+        # Asked within this time, a node does not count as told of what it has not heard.
+        most = told.ask_within_ms / (1 + PAUSE_SPREAD) if told.asks_for_list else 0.0
+        self.list_pause, self.list_pauses = first, (first, max(first, most))
         self.sure = ROUGH_SURE if told.listed_rates == "rough" else 1.0
         self.warm_up, self.margin = max(1.0, told.warm_up_ms), max(MARGIN_MS, 2 * told.tick_ms)
         self.dests, self.sinks = {}, {}  # by number, as the list names them; sinks leave when long gone
@@ -217,7 +226,7 @@
         return stream.utility
 
     def listed(self, entries, whole, now):
-        named, grown = set(), {}
+        named, grown, self.list_pause = set(), {}, self.list_pauses[0]
         for ident, dest_no, zone, kind, rate, ready in entries:
             dest, blocked = self.dests.setdefault(dest_no, Destination(dest_no)), -math.inf
             apart = bool(kind < len(self.told.apart_by_kind) and self.told.apart_by_kind[kind])
@@ -262,7 +271,11 @@
             sink.dest.sinks.remove(sink)
 
     def list_failed(self, now):
-        self.listing_at = now + self.spread(300.0, 900.0)
+        """When to ask again: exponential backoff where a call is a load on discovery shared by all nodes.
+        Repeated sooner than it can answer all, calls keep it turning them away or answering too late."""
+        self.listing_at = now + self.list_pause * self.spread(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
+        self.list_pause = min(2 * self.list_pause, self.list_pauses[1])
+        return self.listing_at
 
     def wants_list(self, now):
         if now < self.listing_at:
--- a/swiftthread/plain.py
+++ b/swiftthread/plain.py
@@ -86,6 +86,7 @@
     may_advise: bool = False
     most_advice_ms: float = 0.0
     asks_for_list: bool = False
+    ask_within_ms: float = 0.0
     fall_multiple: float = 1.0
     cold_from: float = 0.15
     warm_up_ms: float = 20000.0
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -176,6 +176,6 @@
         while True:
             if not await registry.watch(self.listed):
                 continue
-            self.module.list_failed(self.clock())
-            while not self.module.wants_list(self.clock()):
-                await anyio.sleep(0.02)
+            again_at = self.module.list_failed(self.clock())
+            while not self.module.wants_list(now := self.clock()):
+                await anyio.sleep((again_at - now) / 1000.0)
--- a/swiftthread/terms.py
+++ b/swiftthread/terms.py
@@ -52,6 +52,7 @@
             "may_advise": allowed.get("RetryAfter"),
             "most_advice_ms": ms(allowed.get("MaxRetryAfter")),
             "asks_for_list": conf.get("Discovery") == "ask",
+            "ask_within_ms": ms(rules.get("AskWithin")),
             "fall_multiple": rules.get("FallMultiple"),
             "cold_from": rules.get("ColdFrom"),
             "warm_up_ms": ms(rules.get("WarmUp")),
