A returning destination gets the fall budget's calls from its first moments on

Ruled out: the list (complete), told waits (none), slots (two or three out of six), the key's rate (1.25/s and not waited for).

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -517,7 +517,9 @@
             sink.out += 1
         key.book(now, cost)
         if sink.down or now - sink.cold_since < self.warm_up:
-            key.cold_due = max(now, key.cold_due) + cost * self._cold_pause(sink, now)
+            # The trial of an endpoint that has not failed itself waits for no moment, and puts none off.
+            booked = now if sink.down and not sink.proved else max(now, key.cold_due)
+            key.cold_due = booked + cost * self._cold_pause(sink, now)
         call.left += 1
         evt.call, evt.sink, evt.sent_at, evt.sends = call, sink, now, evt.sends + 1
         evt.sent_group = self.group_of(evt, sink)
@@ -527,11 +529,15 @@
         """Guards a destination that is out or returns cold: this node's part of the fall budget, for trials,
         probes and events: the mean of its usual share and an even one among the nodes that can have met the
         outage. Both add up, however many nodes there are. Hurts where others leave theirs unused."""
-        key, since = sink.key, 0.0 if sink.down else now - sink.cold_since
-        present = self.told.cold_from + (1 - self.told.cold_from) * since / self.warm_up
+        key, growth = sink.key, (1 - self.told.cold_from) / self.warm_up
+        present = self.told.cold_from + (0.0 if sink.down else growth * (now - sink.cold_since))
         busy = max(key.busy, now - key.out_since)
         share = key.among(busy, self.nodes) if key.listed else key.owed or LEAST_RATE
-        return self.spread(0.8, 1.2) / (self.told.fall_multiple * key.sure * present * (key.owed + share) / 2)
+        pause = 2.0 / (self.told.fall_multiple * key.sure * (key.owed + share))  # were it warm
+        if sink.down or not growth:
+            return self.spread(0.8, 1.2) * pause / present
+        # Over which a share that grows with the endpoint amounts to one call.
+        return self.spread(0.8, 1.2) * (math.sqrt(present**2 + 2 * growth * pause) - present) / growth
 
     def _shares(self, evt, sink, now):
         """Whether it may travel with others. Guards them: a call ends for all when the time of one of its
@@ -578,6 +584,9 @@
                 sink.down, sink.silent, sink.cold_since = False, False, now
                 self.lost.pop(sink, None)
                 sink.bad = min(sink.bad, MOSTLY_BAD / 2)
+                key.cold_due = min(
+                    key.cold_due, now + self._cold_pause(sink, now)
+                )  # as it warms, no more as a trial
             key.acked(now, latency, self._slow_everywhere)
             return
         if outcome == FULL and not sink.down:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -84,3 +84,21 @@
 
     def lines(self, word):
         return [line for member in self.members for line in member.lines if word in line]
+
+
+class Returning:
+    """An endpoint that refuses connections for a while, and is cold when it is back."""
+
+    def __init__(self, out_at, back_at):
+        self.out_at, self.back_at = out_at, back_at
+        self.calls = []  # moments of the calls since it is back
+
+    def answer(self, _member, now):
+        if self.out_at <= now < self.back_at:
+            return 20.0, "unreached"
+        if now >= self.back_at:
+            self.calls.append(now)
+        return CALL_MS, "acked"
+
+    def within(self, begin, end):
+        return sum(begin <= moment - self.back_at < end for moment in self.calls)
