The warm-up of a returning destination counts from half way between last failure and first ack

A node's trials are 13 s apart there (its part of a budget of 0.2 of the limit), so its first ack comes 6.5 s after the return in the mean, and choice._learn counted the 13 s of warm-up from there. Node n166 at destination 0:

4.768 full a88d down 20.332 acked a88d 28.626 acked a88d

Ruled out: the rate (sum of all nodes 95 to 120/s, not waited for), refusals (none after 8 s), the list.

The return lies between the last failure (or the outage's beginning, or a told wait's end) and the first ack: half way in the mean of many nodes. Beside it, _cold_pause took a measured part by the trust in a rough list.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -168,7 +168,8 @@
         self.key, self.ready, self.batch, self.fee = None, False, 1, 0.0
         self.out, self.heard, self.bad, self.run = 0, -math.inf, 0.0, 0
         self.down, self.silent, self.probing, self.proved = False, False, False, False
-        self.run_since, self.cold_since, self.acked_at, self.crowded_at = 0.0, -math.inf, -math.inf, -math.inf
+        self.run_since, self.failed_at, self.acked_at = 0.0, -math.inf, -math.inf
+        self.cold_since, self.crowded_at = -math.inf, -math.inf
         self.again_at = -math.inf  # after a full table; an unpaced key has no other pause
         self.shunned = {}  # stream type -> until when; one entry a stream type, emptied by an ack
 
@@ -533,7 +534,7 @@
         present = self.told.cold_from + (0.0 if sink.down else growth * (now - sink.cold_since))
         busy = max(key.busy, now - key.out_since)
         share = key.among(busy, self.nodes) if key.listed else key.owed or LEAST_RATE
-        pause = 2.0 / (self.told.fall_multiple * key.sure * (key.owed + share))  # were it warm
+        pause = 2.0 / (self.told.fall_multiple * (key.owed + key.sure * share))  # were it warm
         if sink.down or not growth:
             return self.spread(0.8, 1.2) * pause / present
         # Over which a share that grows with the endpoint amounts to one call.
@@ -581,7 +582,9 @@
         if outcome == ACKED:
             sink.acked_at, sink.run, sink.bad = now, 0, sink.bad * (1 - SMOOTH)
             if sink.down:
-                sink.down, sink.silent, sink.cold_since = False, False, now
+                # It came back some time since the last failure: in the mean over all nodes, half way.
+                began = max(sink.failed_at, key.out_since, key.blocked)
+                sink.down, sink.silent, sink.cold_since = False, False, (began + now) / 2
                 self.lost.pop(sink, None)
                 sink.bad = min(sink.bad, MOSTLY_BAD / 2)
                 key.cold_due = min(
@@ -598,7 +601,7 @@
                 if sink.out and now - sink.acked_at < 1000.0:
                     return
             key.run, sink.bad = key.run + 1, sink.bad + SMOOTH * (1 - sink.bad)
-        sink.run, sink.run_since = sink.run + 1, sink.run_since if sink.run else now
+        sink.run, sink.run_since, sink.failed_at = sink.run + 1, sink.run_since if sink.run else now, now
         sink.silent, sink.proved = outcome == TIMEOUT, False
         if sink.down:
             return
