--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -83,10 +83,11 @@
 class Key:
     """One due moment: a destination, or a route where routes are kept apart."""
 
-    def __init__(self, listed, nodes, sure, busy):
+    def __init__(self, listed, nodes, sure, busy, longest):
         self.due = self.blocked = self.changed = self.cut_at = self.pressed = -math.inf
-        self.named = self.even = self.fair = self.listed = None
+        self.named = self.even = self.fair = self.crowd = self.listed = None
         self.busy, self.sure = busy, sure  # ms in which nodes share the rate; trust in the list
+        self.longest = longest  # ms for which an event may wait here
         if listed:
             self.hold_true(listed, nodes, sure)
         self.rate = self.level = self.even  # None: unpaced until the first cut
@@ -101,9 +102,9 @@
         self.cold_due = -math.inf  # the next cold send
 
     def hold_true(self, listed, nodes, sure):
-        """Calls per ms, a node's part among those busy there at a time (`even`), among all (`fair`)."""
+        """Calls per ms; a node's part among all (`fair`), those busy (`even`), those that wait (`crowd`)."""
         self.listed, self.fair, self.sure = listed, listed / nodes, sure
-        self.even = self.among(self.busy, nodes)
+        self.even, self.crowd = self.among(self.busy, nodes), self.among(self.longest, nodes)
 
     def among(self, span, nodes):
         """The rate by the nodes that can be expected to have an event here within a span, at the limit."""
@@ -128,6 +129,10 @@
         if refused:
             self.level = max(min(self.level, max(self.rate, due)) * LEVEL_KEPT, due)
         rate, self.rate, self.changed, self.cut_at = self.rate, max(self.rate * CUT, due * CUT), now, now
+        if refused and self.even:
+            # All nodes together send too much, and refused calls may use up the limit: its part among those
+            # that can have an event waiting here.
+            self.rate = min(self.rate, self.crowd * self.sure)
         self.served = False
         self.due = max(now, self.due) + 1.0 / self.rate - 1.0 / rate  # what was booked is booked anew
 
@@ -244,7 +249,7 @@
             listed = rate / 1000.0 if self.has_rates and rate > 0 else None
             if sink.key is None:
                 fresh = apart or not dest.key
-                sink.key = Key(listed, self.nodes, self.sure, self.busy) if fresh else dest.key
+                sink.key = Key(listed, self.nodes, self.sure, self.busy, self.longest) if fresh else dest.key
                 dest.key = dest.key or sink.key
             elif listed and listed != sink.key.named:
                 sink.key.hold_true(listed, self.nodes, self.sure)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,6 +2,7 @@
 
 import heapq
 import random
+from collections import deque
 from itertools import count
 
 from helpers import Run
@@ -102,3 +103,22 @@
 
     def within(self, begin, end):
         return sum(begin <= moment - self.back_at < end for moment in self.calls)
+
+
+class Limited:
+    """An endpoint that takes so many calls in a second, and counts those that it refuses."""
+
+    def __init__(self, per_s):
+        self.per_s = per_s
+        self.recent = deque()  # moments of the calls of the last second
+        self.served, self.refused = [], []  # moments
+
+    def answer(self, _member, now):
+        while self.recent and now - self.recent[0] > 1000.0:
+            self.recent.popleft()
+        self.recent.append(now)
+        if len(self.recent) > self.per_s:
+            self.refused.append(now)
+            return 20.0, "full"
+        self.served.append(now)
+        return CALL_MS, "acked"
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -271,12 +271,15 @@
     """Nodes that met a shut destination with two refused calls went on at their rate and pushed it over."""
 
     def answers(ticket, sink, now):
-        return (50.0, "full", 1386.0) if now < 10000.0 else (100.0, "acked")
+        # Both calls are out before either is refused: after a refusal the next waits for seconds.
+        refused_after = {1: 600.0, 2: 2400.0}.get(ticket, 50.0)
+        return (refused_after, "full", 1386.0) if now < 10000.0 else (100.0, "acked")
 
     run = Run(ONE, answers, nodes=198)
     for ticket, moment in enumerate((1000.0, 1100.0, 9000.0), 1):
         run.at(moment, run.take, ticket)
     run.play(14000.0).as_kept("shut_by_refusals")
+    assert run.inst.node.sinks[1].down
     assert not [moment for moment, _ in sent(run) if 6000.0 < moment < 11000.0]
 
 
