A told wait, not each refusal, leaves a node its part among those that can have events waiting

Refusals there mostly tell no wait: an endpoint's queue is full, or it is shut, and the rate of a whole route fell for it.

So Dispatcher._told takes the rate down, and Key.cut halves as it did.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -129,10 +129,6 @@
         if refused:
             self.level = max(min(self.level, max(self.rate, due)) * LEVEL_KEPT, due)
         rate, self.rate, self.changed, self.cut_at = self.rate, max(self.rate * CUT, due * CUT), now, now
-        if refused and self.even:
-            # All nodes together send too much, and refused calls may use up the limit: its part among those
-            # that can have an event waiting here.
-            self.rate = min(self.rate, self.crowd * self.sure)
         self.served = False
         self.due = max(now, self.due) + 1.0 / self.rate - 1.0 / rate  # what was booked is booked anew
 
@@ -654,6 +650,10 @@
         """The page: a told wait blocks the key to its end, and the due moment restarts there."""
         if until > key.blocked:
             key.blocked = until
+            if key.even and key.rate:
+                # All that were told come back together, and refused calls may use up the limit: its part
+                # among those that can have an event waiting here.
+                key.rate = min(key.rate, key.crowd * key.sure)
             key.due = max(key.due, until + self.spread(0.0, 1.0) / (key.rate or 0.004))
 
     def _slow_everywhere(self):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -106,10 +106,13 @@
 
 
 class Limited:
-    """An endpoint that takes so many calls in a second, and counts those that it refuses."""
+    """An endpoint that takes so many calls in a second, and counts those that it refuses.
 
-    def __init__(self, per_s):
-        self.per_s = per_s
+    `told_ms`: the wait that its refusals tell.
+    """
+
+    def __init__(self, per_s, told_ms=0.0):
+        self.per_s, self.told_ms = per_s, told_ms
         self.recent = deque()  # moments of the calls of the last second
         self.served, self.refused = [], []  # moments
 
@@ -119,6 +122,6 @@
         self.recent.append(now)
         if len(self.recent) > self.per_s:
             self.refused.append(now)
-            return 20.0, "full"
+            return 20.0, "full", self.told_ms
         self.served.append(now)
         return CALL_MS, "acked"
