--- a/swiftthread/lab/records.py
+++ b/swiftthread/lab/records.py
@@ -35,9 +35,9 @@
 
 
 class Heard(Row, tag="heard"):
-    """The client's answer; status 0: none in time, or a connection that broke (`written`.
+    """The client's answer.
 
-    After its last byte).
+    Status 0: none in time, or a connection that broke (`written`: after its last byte).
     """
 
     ident: str
--- a/swiftthread/lab/runner.py
+++ b/swiftthread/lab/runner.py
@@ -28,9 +28,8 @@
 STOP_S = 3.7  # s from SIGTERM to SIGKILL, the platform's
 BACK_MS = 600.0  # ms from a node's end to its next start, unless the step says otherwise
 SAMPLE_S = 0.25  # s between two looks at the nodes' CPU and memory
-MOST_LAG_MS = (
-    60.0  # ms: where a loop of the laboratory came later than this the figures are its own, not a node's
-)
+# Ms: where a loop of the laboratory came later than this the figures are its own, not a node's
+MOST_LAG_MS = 60.0
 TREE = Path(__file__).parents[2]
 KINDS = ("swiftthread", "once", "backoff", "aimd", "floor")
 
--- a/swiftthread/lab/scripts.py
+++ b/swiftthread/lab/scripts.py
@@ -162,10 +162,7 @@
                     )
 
     def aimed(self, on):
-        """Names of the endpoints that `on` means: "endpoint:d1-0", "dest:1", "hall:east", "spares.
-
-        1" or "all".
-        """
+        """Names of the endpoints that `on` means: an endpoint, a destination, a hall or the spares."""
         sort, _, name = on.partition(":")
         if sort == "spares":
             return [row[0] for row in self.endpoints() if str(row[1]) == name and row[4]]
--- a/swiftthread/plain.py
+++ b/swiftthread/plain.py
@@ -14,9 +14,8 @@
 # How a send can end, whatever the protocol calls it.
 ACKED, ERROR, FULL, TIMEOUT = "acked", "error", "full", "timeout"
 UNREACHED, RESET, CANCELLED, UNSENT = "unreached", "reset", "cancelled", "unsent"
-TABLE_FULL = (
-    "table full"  # turned away with its new connection: the endpoint runs, its connection table is full
-)
+# Turned away with its new connection: the endpoint runs, its connection table is full
+TABLE_FULL = "table full"
 KEPT = "kept"  # this node itself let none of its last byte go: no send of the event's, nobody was called
 NEVER_RAN = (FULL, UNREACHED, UNSENT, TABLE_FULL, KEPT)  # what surely had no effect
 
--- a/swiftthread/queues.py
+++ b/swiftthread/queues.py
@@ -20,9 +20,8 @@
     0.05,
 )  # ms, + ms an event: a group's order is this old at most; ranks drift slowly,
 # and the sorting stays under a tenth of the time however long the group
-APART_TRIES = (
-    3  # of a group whose routes are apart, or with a call to join: what one waits for, another may not
-)
+# Of a group whose routes are apart, or with a call to join: what one waits for, another may not
+APART_TRIES = 3
 SHED_TRIES = 8  # least urgent events looked at for one that can be handed back, in each group
 
 
--- a/swiftthread/service/limits.py
+++ b/swiftthread/service/limits.py
@@ -8,10 +8,9 @@
 FIRST_MS = 2200.0  # a connection's first request, from the accept; strangers are owed an end within 3 s
 REQUEST_MS = 1500.0  # a client's request, from its first byte to its last; four times the client's patience
 CLIENT_IDLE_MS = 8000.0  # an idle client connection is closed, 2 s at least; some are never used again
-WATCH_QUIET_MS = (
-    4200.0  # the watch sends an empty line every 2 s: two missed, and it is opened anew. With the pause
-)
-# before that (0.9 s at most) and the answer it stays inside the 6 s that the pages give
+# The watch sends an empty line every 2 s: two missed, and it is opened anew. With the pause before that
+# (0.3 s at most) and the answer it stays inside the 6 s after which a change counts as told.
+WATCH_QUIET_MS = 4200.0
 PLATFORM_MS = 1500.0  # an answer of discovery or to a notice, which the pages say comes at once
 NOTICE_PAUSE_MS = 150.0  # before a notice is repeated that was not answered 204; half of the slack it has
 LOG_PAUSE_MS = 100.0  # before a log that took nothing is asked again; an SLO time has room for several
@@ -22,9 +21,8 @@
 LEAST_BACKLOG = 1024  # connections waiting to be accepted: as many nodes or clients may come at one moment
 RESERVED_SOCKETS = 32  # the loop's own, log, listener, discovery, notices, and some for accepts to be refused
 IDLE_SHARE = 0.25  # of the sockets: idle connections to endpoints
-KEPT_SHARE = (
-    0.125  # of the sockets: client connections kept between requests; clients may hold a third in all
-)
+# Of the sockets: client connections kept between requests; clients may hold a third in all
+KEPT_SHARE = 0.125
 MIB = 1024 * 1024
 DISK_MB = 1000 * 1000  # bytes: the smaller of two readings of "MB"
 
--- a/swiftthread/store/ledger.py
+++ b/swiftthread/store/ledger.py
@@ -29,9 +29,8 @@
 FILE_SHARE = 0.45  # of the disk: the old file and the new one lie there together while it is rewritten
 LIVE_SHARE = 0.35  # of the disk: what events held may need, so that a rewritten file has room to grow
 RESERVE = 100  # bytes beside the id of each record that an event may need later: state, send, decision
-OVER_MS = (
-    3000.0  # for which the id of an ended event is known: a hand-in sent again on another connection. It
-)
+# For which the id of an ended event is known: a hand-in sent again on another connection. It
+OVER_MS = 3000.0
 #                         counts from a start as well: nobody could come while the process was away
 NAME, NEW_NAME = "ledger", "ledger.new"
 
--- a/swiftthread/wire/registry.py
+++ b/swiftthread/wire/registry.py
@@ -113,9 +113,9 @@
         return self.foreign[said]
 
     async def watch(self, told):
-        """Hand each list that comes to `told`, until the watch ends, falls silent or breaks; False.
+        """Hand each list that comes to `told`, until the watch ends, falls silent or breaks.
 
-        Moved away.
+        False when discovery has moved away.
         """
         with anyio.CancelScope() as self.watching:
             await self._watch(told)
