Constants one a line, comments above what they explain; the tests' limit counts by RecentCount

The formatter had split tuples of unrelated values round their comments. The test endpoint's sliding count of a second stood beside swiftthread.statistics.RecentCount, which it uses now.

--- a/swiftthread/choice.py
+++ b/swiftthread/choice.py
@@ -71,10 +71,8 @@
 SHUT_MS, REFUSED_RUN = 2100.0, 1  # ms told to wait, or refused in a row for that long: shut; fewer are chance
 SHUN_MS = 5000.0  # ms for which a stream type goes past an endpoint that failed it; some SLO times
 SCARCE = 0.7  # of the slots: from here no destination may take more than half of those out
-PUSHED_PAUSE_MS, ASKED_PAUSE_MS = (
-    200.0,
-    1000.0,
-)  # ms, mean, before a list is asked for again; local, or shared
+PUSHED_PAUSE_MS = 200.0  # ms, mean, before a list is asked for again of a local agent
+ASKED_PAUSE_MS = 1000.0  # the same of a discovery that all nodes share; doubled by each failure
 PAUSE_SPREAD = 0.5  # of that pause, either way: nodes that lost their lists together must not ask together
 CROWDED = 0.92  # of the holding room: from here the longest queues are declined
 MARGIN_MS = 12.0  # ms before a bound at which the event is answered; two turns of the caller
@@ -98,7 +96,7 @@
         self.owed, self.out_since = (
             0.0,
             -math.inf,
-        )  # usual acked calls per ms at its last outage; when that began
+        )  # usual acked calls per ms at its last outage; its beginning
         self.cold_due = -math.inf  # the next cold send
 
     def hold_true(self, listed, nodes, sure):
@@ -588,9 +586,8 @@
                 sink.down, sink.silent, sink.cold_since = False, False, (began + now) / 2
                 self.lost.pop(sink, None)
                 sink.bad = min(sink.bad, MOSTLY_BAD / 2)
-                key.cold_due = min(
-                    key.cold_due, now + self._cold_pause(sink, now)
-                )  # as it warms, no more as a trial
+                # The next call waits as it warms, no more as a trial.
+                key.cold_due = min(key.cold_due, now + self._cold_pause(sink, now))
             key.acked(now, latency, self._slow_everywhere)
             return
         if outcome == FULL and not sink.down:
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -127,9 +127,8 @@
                 now = await self.turns.tell()
                 answer = self.module.after(evt, end.outcome, now, end.latency, end.told, end.over, end.report)
                 self.turns.learnt(evt.dest)
-                if (
-                    noted and end.outcome in plain.NEVER_RAN
-                ):  # else it is an earlier send that the log has as out
+                # Where it is not noted, an earlier send is what the log has as out.
+                if noted and end.outcome in plain.NEVER_RAN:
                     self.ledger.never_ran(held)
                 if end.over:
                     break
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,11 +2,12 @@
 
 import heapq
 import random
-from collections import deque
 from itertools import count
 
 from helpers import Run
 
+from swiftthread.statistics import RecentCount
+
 CALL_MS, IDLE_MS = 100.0, 4000.0  # ms: an endpoint's answer; a node's connection idles so long at most
 
 
@@ -113,14 +114,12 @@
 
     def __init__(self, per_s, told_ms=0.0):
         self.per_s, self.told_ms = per_s, told_ms
-        self.recent = deque()  # moments of the calls of the last second
+        self.recent = RecentCount(1000.0)
         self.served, self.refused = [], []  # moments
 
     def answer(self, _member, now):
-        while self.recent and now - self.recent[0] > 1000.0:
-            self.recent.popleft()
-        self.recent.append(now)
-        if len(self.recent) > self.per_s:
+        self.recent.add(now)
+        if self.recent.count(now) > self.per_s:
             self.refused.append(now)
             return 20.0, "full", self.told_ms
         self.served.append(now)
--- a/tests/test_cold_return.py
+++ b/tests/test_cold_return.py
@@ -5,11 +5,8 @@
 import pytest
 from fleet import Fleet, Returning
 
-NODES, LIMIT, LOAD = (
-    30,
-    20.0,
-    18.0,
-)  # instances; calls per s: the destination's limit, events of all instances
+NODES = 30  # instances
+LIMIT, LOAD = 20.0, 18.0  # per s: calls that the destination takes, events of all instances
 OUT_MS, BACK_MS = 10000.0, 15000.0  # the outage
 MULTIPLE, COLD_FROM, WARM_UP_MS, SPAN_MS = 2.0, 0.2, 8000.0, 2000.0  # the settings' figures of the fall
 
