--- a/swiftthread/lab/receiver_model.py
+++ b/swiftthread/lab/receiver_model.py
@@ -127,6 +127,7 @@
         """Take a call of `size` events whose last byte has arrived."""
         call = Call(tag, endpoint, size)
         destination = endpoint.destination
+        self._end_unavailability(now, destination)
         self.observe(CallArrived(now, endpoint.name, tag))
         load = 1.0 + EXTRA_EVENT_LOAD * (size - 1)
         if not endpoint.is_down() and destination.record_load(now, load):
@@ -141,6 +142,15 @@
             endpoint.queue.append(call)
         return Arrival(call, None)
 
+    def _end_unavailability(self, now: float, destination: Destination) -> None:
+        """Let a destination that rejected every call until some moment recover from that moment on."""
+        ended_at = destination.take_expired_unavailability(now)
+        if ended_at is not None and not destination.is_down():
+            destination.recover(ended_at)
+            self.observe(
+                DestinationAvailabilityChanged(ended_at, DestinationChange.RECOVERED, destination.number)
+            )
+
     def _take_down(self, now: float, destination: Destination) -> None:
         self.observe(DestinationAvailabilityChanged(now, DestinationChange.OVERLOADED, destination.number))
         for endpoint in destination.endpoints:
@@ -265,6 +275,10 @@
         endpoint.rejection_share = fault.share
 
     def _make_destination_unavailable(self, now: float, endpoint: Endpoint, fault: Fault) -> None:
+        if now >= endpoint.destination.unavailable_until:
+            self.observe(
+                DestinationAvailabilityChanged(now, DestinationChange.DOWN, endpoint.destination.number)
+            )
         endpoint.destination.unavailable_until = now + fault.duration_ms
         endpoint.destination.unavailability_has_retry_after = fault.sends_retry_after
 
@@ -303,6 +317,7 @@
         endpoint.rejection_share = 0.0
         endpoint.service_time_factor = 1.0
         destination.unavailable_until = min(destination.unavailable_until, now)
+        self._end_unavailability(now, destination)
         destination.is_overloaded = False
         destination.rate_limit.rate_per_ms = destination.rate_limit.configured_rate_per_ms
         if was_down and not destination.is_down():
--- a/swiftthread/lab/referee/evidence.py
+++ b/swiftthread/lab/referee/evidence.py
@@ -141,10 +141,14 @@
 
 
 class LoadSample(NamedTuple):
-    """Load that a destination received at `at` (ms), in calls with a single event."""
+    """Load that a destination received at `at` (ms), in calls with a single event.
+
+    `node` is the sender; empty for a health check, which only nodes that were told of an outage send.
+    """
 
     at: float
     load: float
+    node: str = ""
 
 
 class UnknownEvent(NamedTuple):
@@ -235,7 +239,10 @@
         attempt = Attempt.from_record(record)
         self.calls[record.call] = attempt
         load = 1.0 + EXTRA_EVENT_LOAD * (len(record.event_ids) - 1)
-        self.loads[record.destination].append(LoadSample(record.at, load))
+        sender = next(
+            (self.events[event_id].node for event_id in record.event_ids if event_id in self.events), ""
+        )
+        self.loads[record.destination].append(LoadSample(record.at, load, sender))
         for event_id in record.event_ids:
             if event_id in self.events:
                 self.events[event_id].attempts.append(attempt)
--- a/tests/lab/test_receiver_model.py
+++ b/tests/lab/test_receiver_model.py
@@ -11,7 +11,7 @@
 import pytest
 
 from swiftthread.lab.faults import SOCKET_FAULTS, Fault, FaultKind
-from swiftthread.lab.outcomes import DestinationChange
+from swiftthread.lab.outcomes import CallOutcome, DestinationChange
 from swiftthread.lab.rate_limit import RateLimit
 from swiftthread.lab.receiver_model import CallArrived, DestinationAvailabilityChanged, ReceiverModel
 from swiftthread.lab.receivers import Destination, Endpoint, service_time_sampler
@@ -204,6 +204,22 @@
     assert 8 <= sum(isinstance(event, CallArrived) for event in events[:overloaded]) <= 20
 
 
+def test_a_destination_that_rejected_every_call_recovers_when_that_ends():
+    receivers, endpoint = build_receiver(random.Random(1), workers=50, kind="fixed", rate=20.0, cold=0.2)
+    events = []
+    receivers.observe = events.append
+    unavailable = Fault(FaultKind.DESTINATION_UNAVAILABLE, duration_ms=1000.0)
+    receivers.apply(5000.0, unavailable, [endpoint])
+    assert receivers.arrive(5900.0, endpoint, 1).answer.outcome == CallOutcome.RATE_LIMITED
+    assert endpoint.destination.warmth(5900.0) == 1.0
+    assert receivers.arrive(6500.0, endpoint, 2).answer is None
+    assert endpoint.destination.warmth(6500.0) == pytest.approx(0.2 + 0.8 * 0.5)
+    changes = [
+        (event.at, event.change) for event in events if isinstance(event, DestinationAvailabilityChanged)
+    ]
+    assert changes == [(5000.0, DestinationChange.DOWN), (6000.0, DestinationChange.RECOVERED)]
+
+
 def test_no_overload_within_the_budget_nor_once_warm():
     receivers, endpoint = build_receiver(random.Random(1), workers=50, kind="fixed", rate=20.0, cold=0.2)
     endpoint.destination.overload_multiple = 2.0
--- a/tests/lab/test_referee.py
+++ b/tests/lab/test_referee.py
@@ -217,6 +217,20 @@
     assert recorded.broken_rules() == rules
 
 
+@pytest.mark.parametrize("told_nodes, rules", [(1, []), (3, ["fall budget"])])
+def test_recovery_load_of_nodes_that_were_not_told_is_no_breach(told_nodes, rules):
+    recorded = RecordedRun().add(
+        DestinationChanged(1000.0, 1, "out", 0.02), DestinationChanged(2000.0, 1, "back", 0.02)
+    )
+    for node in range(told_nodes):
+        recorded.submit(f"t{node}", 900.0, node=f"n{node}").attempt(f"t{node}", 1500.0, "full")
+        recorded.notify(f"t{node}", 1600.0)
+    for number in range(40):
+        ident = f"e{number}"
+        recorded.submit(ident, 1900.0, node=f"n{number % 4}").attempt(ident, 2010.0 + number, "done")
+    assert recorded.broken_rules() == rules
+
+
 @pytest.mark.parametrize(
     "second_at, first, rules",
     [
