Two unacked failures in a row hold a destination to be down; the ramp keeps what is booked

Cause: HealthTracker._fails_in_a_row asked for three failures in a row or two rejections over 2.1 s apart; most of forty nodes meet an outage with fewer, and on the return the sum of their unpaced calls exceeds the slow-start budget. Class of bug: a bound on the sum over all nodes kept only by those nodes that have seen enough. Changes: two failed or rejected calls at a destination, none acked there for a second, mark the endpoint down (resets alone: three as before); _begin_warm_up no longer brings a booked slot forward (a health check and the trial behind it went as a pair) and counts the warm-up from at most one pause of trials ago; book and _available_at agree on which trial waits for no slot; the nodes use 0.9 of the budget in the mean, since the sum of independent schedules varies.

--- a/swiftthread/routing/endpoint.py
+++ b/swiftthread/routing/endpoint.py
@@ -58,6 +58,11 @@
     retry_at: float = -math.inf
     """No call before this moment, after a full connection table; an unpaced endpoint has no other pause."""
 
+    @property
+    def is_untried_while_down(self) -> bool:
+        """Whether it is held to be down for the failures of others, and has not failed itself."""
+        return self.is_down and not self.consecutive_failures
+
     def __post_init__(self, node_position: int) -> None:
         # Each node ranks for itself: by one ranking many nodes of little traffic would all take the same.
         text = f"{self.destination.number}/{self.endpoint_id}/{node_position}"
--- a/swiftthread/routing/health.py
+++ b/swiftthread/routing/health.py
@@ -19,14 +19,14 @@
 RECENT_ACK_MS = 1000.0
 # Calls failing in a row, none between, that tell of an outage; two can be chance.
 MAX_CONSECUTIVE_FAILURES = 3
+# Calls failed or rejected in a row that tell of one where none was acked for `LONE_FAILURE_MS` before.
+MAX_UNACKED_FAILURES = 2
 # Smoothed share of failed calls from which an endpoint counts as failing.
 MAX_FAILURE_RATIO = 0.6
 # Weight of the newest call in that share: it tells of about the last dozen calls.
 FAILURE_SMOOTHING = 0.15
-# ms of Retry-After, or of rejections in a row: longer than the spans that limits are counted in.
+# ms of Retry-After: longer than the spans that limits are counted in.
 SHUT_AFTER_MS = 2100.0
-# Rejections in a row over that span that are still chance.
-MAX_CONSECUTIVE_REJECTIONS = 1
 # ms: least pause before a failing endpoint is tried; a few round trips.
 MIN_TRIAL_PAUSE_MS = 300.0
 # Bounds of the random factor of the pause after a full connection table.
@@ -112,16 +112,20 @@
 
     def _begin_warm_up(self, endpoint: Endpoint, now: float) -> None:
         limiter = endpoint.rate_limiter
-        # It came back some time since the last failure: in the mean over all nodes, half way.
-        out_until = max(endpoint.failed_at, limiter.outage_began_at, limiter.retry_after_until)
+        trial_pause_ms = self.recovery.mean_trial_pause_ms(endpoint, now)
+        calls_ahead = max(0.0, limiter.next_cold_slot_at - now) / trial_pause_ms
+        # It came back some time since the last failure: in the mean over all nodes, half way. Nodes that had
+        # no event to try it with would all count from long before it was back, so a pause ago at most.
+        out_until = max(
+            endpoint.failed_at, limiter.outage_began_at, limiter.retry_after_until, now - trial_pause_ms
+        )
         endpoint.is_down = False
         endpoint.is_silent = False
         endpoint.warming_since = (out_until + now) / 2
         self.down_endpoints.pop(endpoint, None)
         endpoint.failure_ratio = min(endpoint.failure_ratio, MAX_FAILURE_RATIO / 2)
-        # The next call waits as it warms, no more as a trial.
-        pause_ms = self.recovery.pause_ms(endpoint, now)
-        limiter.set_next_cold_slot(min(limiter.next_cold_slot_at, now + pause_ms))
+        # What trials and health checks have booked stays booked, at the pace of the warm-up.
+        limiter.set_next_cold_slot(now + self.recovery.pause_ms(endpoint, now, calls_ahead))
 
     def _record_error(self, endpoint: Endpoint, outcome: SendOutcome, now: float, latency_ms: float) -> None:
         if outcome == SendOutcome.UNREACHABLE and latency_ms < self.prompt_connect_ms:
@@ -154,14 +158,15 @@
         elif self._limiter_fails(endpoint.rate_limiter) and outcome != SendOutcome.RATE_LIMITED:
             endpoint.rate_limiter.reduce_rate(now, was_rejected=False)
 
-    @staticmethod
-    def _fails_in_a_row(endpoint: Endpoint, outcome: SendOutcome, now: float) -> bool:
-        """Whether failures in a row, or rejections over a long span, are more than chance."""
-        if outcome != SendOutcome.RATE_LIMITED:
-            return endpoint.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
+    def _fails_in_a_row(self, endpoint: Endpoint, outcome: SendOutcome, now: float) -> bool:
+        """Whether failures or rejections in a row are more than chance."""
+        # Most nodes meet an outage with a call or two. On the return the sum of their calls counts: those
+        # that go on at their usual rate push the destination over, however well the others slow down.
+        failures = sum(other.consecutive_failures for other in endpoint.destination.endpoints)
+        if outcome != SendOutcome.RESET and failures >= MAX_UNACKED_FAILURES:
+            return self._has_destination_long_acked_nothing(endpoint, now)
         return (
-            endpoint.consecutive_failures > MAX_CONSECUTIVE_REJECTIONS
-            and now - endpoint.failing_since > SHUT_AFTER_MS
+            outcome != SendOutcome.RATE_LIMITED and endpoint.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
         )
 
     def _tells_of_outage(self, endpoint: Endpoint, outcome: SendOutcome, latency_ms: float) -> bool:
@@ -182,6 +187,11 @@
         last_sign_at = max(endpoint.acked_at, self.recovery.warm_up_ends_at(endpoint))
         return now - last_sign_at > LONE_FAILURE_MS
 
+    def _has_destination_long_acked_nothing(self, endpoint: Endpoint, now: float) -> bool:
+        return self._has_long_acked_nothing(endpoint, now) and all(
+            self._has_long_acked_nothing(other, now) for other in endpoint.destination.endpoints
+        )
+
     @staticmethod
     def _limiter_fails(limiter: RateLimiter) -> bool:
         """Whether calls failed in a row at all endpoints of the limiter together."""
--- a/swiftthread/routing/recovery.py
+++ b/swiftthread/routing/recovery.py
@@ -11,6 +11,9 @@
 
 # Either way of 1, the random factor of each pause: nodes must not stay in step.
 PAUSE_SPREAD = 0.2
+# Share of the slow-start budget that the nodes use in the mean. Their schedules are independent, so the sum
+# varies by its square root, and nodes that were not told of the outage call as usual beside them.
+BUDGET_SHARE = 0.9
 
 
 class RecoveryRamp:
@@ -37,13 +40,15 @@
         if not endpoint.is_down and not self.is_warming(endpoint, now):
             return
         limiter = endpoint.rate_limiter
-        # The trial of an endpoint that has not failed itself waits for no moment, and puts none off.
-        is_free_trial = endpoint.is_down and not endpoint.has_passed_probe
-        booked_at = now if is_free_trial else max(now, limiter.next_cold_slot_at)
-        limiter.set_next_cold_slot(booked_at + cost * self.pause_ms(endpoint, now))
+        pause_ms = self.pause_ms(endpoint, now, cost)
+        if endpoint.is_untried_while_down:
+            # It waited for no slot, so it takes none; the next call comes a pause after it all the same.
+            limiter.set_next_cold_slot(max(limiter.next_cold_slot_at, now + pause_ms))
+        else:
+            limiter.set_next_cold_slot(max(now, limiter.next_cold_slot_at) + pause_ms)
 
-    def pause_ms(self, endpoint: Endpoint, now: float) -> float:
-        """Ms between two calls to a cold endpoint. Draws a random factor.
+    def pause_ms(self, endpoint: Endpoint, now: float, calls: float = 1.0) -> float:
+        """Ms that so many calls to a cold endpoint take of its schedule. Draws a random factor.
 
         Guards a destination that is out or returns cold: this node's part of the calls that it withstands,
         for trials, probes and events: the mean of its usual share and an even one among the nodes that can
@@ -51,15 +56,19 @@
         unused.
         """
         capacity_share = self._capacity_share(endpoint, now)
-        warm_pause_ms = self._warm_pause_ms(endpoint, now)
+        warm_pause_ms = calls * self._warm_pause_ms(endpoint, now)
         factor = self.jitter.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
         if endpoint.is_down or not self.growth_per_ms:
             return factor * warm_pause_ms / capacity_share
-        # Over which a share that grows with the endpoint amounts to one call.
+        # Over which a share that grows with the endpoint amounts to these calls.
         growth = self.growth_per_ms
         grown_share = math.sqrt(capacity_share**2 + 2 * growth * warm_pause_ms)
         return factor * (grown_share - capacity_share) / growth
 
+    def mean_trial_pause_ms(self, endpoint: Endpoint, now: float) -> float:
+        """Ms between two trials of an endpoint that is down, in the mean."""
+        return self._warm_pause_ms(endpoint, now) / self.cold_capacity_share
+
     def _capacity_share(self, endpoint: Endpoint, now: float) -> float:
         """Share of its capacity that the endpoint has now."""
         if endpoint.is_down:
@@ -75,4 +84,4 @@
         else:
             even_share = limiter.rate_before_outage or MIN_RATE_PER_MS
         rate = limiter.rate_before_outage + limiter.listed_rate_confidence * even_share
-        return 2.0 / (self.overload_multiple * rate)
+        return 2.0 / (BUDGET_SHARE * self.overload_multiple * rate)
--- a/swiftthread/routing/selection.py
+++ b/swiftthread/routing/selection.py
@@ -108,7 +108,7 @@
                 or self.health_checks.must_pass_first(endpoint)
             ):
                 return math.inf
-            is_free_trial = endpoint.has_passed_probe or not endpoint.consecutive_failures
+            is_free_trial = endpoint.has_passed_probe or endpoint.is_untried_while_down
             return max(now if is_free_trial else limiter.next_cold_slot_at, limiter.ready_at())
         if endpoint.calls_in_flight and self._is_silent(endpoint, now):
             return math.inf
