The log tells endpoints' changes of state and, each 10 s, what the node did and why

The router tells an observer when an endpoint is held to be down (how many calls failed, how the last one, since when none was acked, when the next trial may go) and when it is back; the node logs both, and every 10 s and at its end the counts of submissions by answer and reason, sends by outcome and ends. Lines of a change of state pass the filter of repeated lines. No decision changes.

--- a/swiftthread/routing/health.py
+++ b/swiftthread/routing/health.py
@@ -9,6 +9,7 @@
 from swiftthread.routing.endpoint_list import EndpointList
 from swiftthread.routing.jitter import Jitter
 from swiftthread.routing.messages import UNRELATED_TO_HEALTH, LoadReport, SendOutcome
+from swiftthread.routing.observer import EndpointDown, EndpointRecovering, RoutingObserver
 from swiftthread.routing.rate_limiter import RateLimiter
 from swiftthread.routing.recovery import RecoveryRamp
 from swiftthread.routing.settings import Settings, StreamType
@@ -43,11 +44,17 @@
     """Learns from outcomes which endpoints are down, and which of their stream types fail."""
 
     def __init__(
-        self, settings: Settings, endpoint_list: EndpointList, recovery: RecoveryRamp, jitter: Jitter
+        self,
+        settings: Settings,
+        endpoint_list: EndpointList,
+        recovery: RecoveryRamp,
+        jitter: Jitter,
+        observer: RoutingObserver,
     ) -> None:
         self.endpoint_list = endpoint_list
         self.recovery = recovery
         self.jitter = jitter
+        self.observer = observer
         self.prompt_connect_ms = PROMPT_CONNECT_SHARE * settings.connect_timeout_ms
         self.down_endpoints: dict[Endpoint, bool] = {}
         """Endpoints that are down, in the order they went; removed by an ack or the endpoint list."""
@@ -61,7 +68,7 @@
     ) -> None:
         """Learn from a Retry-After: a rejection with a long one tells of a destination that is shut."""
         if outcome == SendOutcome.RATE_LIMITED and wait_ms > SHUT_AFTER_MS and not endpoint.is_down:
-            self._mark_down(endpoint, now, is_shut=True)
+            self._mark_down(endpoint, outcome, now)
 
     def record_stream_type(
         self, endpoint: Endpoint, stream_type: StreamType, outcome: SendOutcome, now: float
@@ -126,6 +133,14 @@
         endpoint.failure_ratio = min(endpoint.failure_ratio, MAX_FAILURE_RATIO / 2)
         # What trials and health checks have booked stays booked, at the pace of the warm-up.
         limiter.set_next_cold_slot(now + self.recovery.pause_ms(endpoint, now, calls_ahead))
+        self.observer.endpoint_recovering(
+            EndpointRecovering(
+                endpoint.endpoint_id,
+                endpoint.destination.number,
+                warming_ms=now - endpoint.warming_since,
+                next_call_ms=limiter.next_cold_slot_at - now,
+            )
+        )
 
     def _record_error(self, endpoint: Endpoint, outcome: SendOutcome, now: float, latency_ms: float) -> None:
         if outcome == SendOutcome.UNREACHABLE and latency_ms < self.prompt_connect_ms:
@@ -154,7 +169,7 @@
             or self._tells_of_outage(endpoint, outcome, latency_ms)
             and self._has_long_acked_nothing(endpoint, now)
         ):
-            self._mark_down(endpoint, now, is_shut=outcome == SendOutcome.RATE_LIMITED)
+            self._mark_down(endpoint, outcome, now)
         elif self._limiter_fails(endpoint.rate_limiter) and outcome != SendOutcome.RATE_LIMITED:
             endpoint.rate_limiter.reduce_rate(now, was_rejected=False)
 
@@ -197,7 +212,7 @@
         """Whether calls failed in a row at all endpoints of the limiter together."""
         return limiter.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
 
-    def _mark_down(self, endpoint: Endpoint, now: float, is_shut: bool) -> None:
+    def _mark_down(self, endpoint: Endpoint, outcome: SendOutcome, now: float) -> None:
         """Hold an endpoint, and maybe those that share its limiter, to be down.
 
         Guards against an outage of the whole destination of which this node sees little: endpoints beside it
@@ -210,15 +225,33 @@
             for other in endpoint.destination.endpoints
             if other.rate_limiter is endpoint.rate_limiter and other is not endpoint
         ]
+        is_shut = outcome == SendOutcome.RATE_LIMITED
         self._begin_outage(endpoint, siblings, now)
+        newly_down = [endpoint]
         for other in siblings:
             if is_shut or other.acked_at < now - self.recovery.warm_up_ms / 2:
+                if not other.is_down:
+                    newly_down.append(other)
                 other.is_down = True
                 self.down_endpoints[other] = True
                 other.consecutive_failures = max(other.consecutive_failures, int(is_shut))
         endpoint.is_down = True
         self.down_endpoints[endpoint] = True
         self._schedule_first_trial(endpoint, now)
+        for down in newly_down:
+            self._report_down(down, outcome if down is endpoint else None, now)
+
+    def _report_down(self, endpoint: Endpoint, outcome: SendOutcome | None, now: float) -> None:
+        self.observer.endpoint_down(
+            EndpointDown(
+                endpoint.endpoint_id,
+                endpoint.destination.number,
+                last_outcome=outcome,
+                consecutive_failures=endpoint.consecutive_failures,
+                unacked_ms=now - endpoint.acked_at,
+                next_trial_ms=endpoint.rate_limiter.next_cold_slot_at - now,
+            )
+        )
 
     def _begin_outage(self, endpoint: Endpoint, siblings: list[Endpoint], now: float) -> None:
         """Keep when the outage began and what was usual before, unless this continues one."""
--- a/swiftthread/routing/router.py
+++ b/swiftthread/routing/router.py
@@ -37,6 +37,7 @@
     Send,
     SendOutcome,
 )
+from swiftthread.routing.observer import NullObserver, RoutingObserver
 from swiftthread.routing.ordering import OrderingQueues
 from swiftthread.routing.rate_limiter import CALL_COST, SHARED_EVENT_COST
 from swiftthread.routing.recovery import RecoveryRamp
@@ -53,7 +54,14 @@
 class Router:
     """The decisions of one delivery node: owns their parts, and calls them in sequence."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
+    def __init__(self, settings: Settings, seed: int, observer: RoutingObserver | None = None) -> None:
+        """Build a router.
+
+        Args:
+            settings: What the node is configured with.
+            seed: Of all random draws.
+            observer: Hears of changes of endpoints' states.
+        """
         self.stream_types: list[StreamType] = list(settings.stream_types)
         self.jitter = Jitter(seed)
         self.recovery = RecoveryRamp(settings, self.jitter)
@@ -66,7 +74,9 @@
         self.retry_rules = RetryRules(settings)
         self.timeouts = AttemptTimeouts(settings, self.recovery)
         self.slots = CallSlots(settings.max_calls_in_flight)
-        self.health = HealthTracker(settings, self.endpoint_list, self.recovery, self.jitter)
+        self.health = HealthTracker(
+            settings, self.endpoint_list, self.recovery, self.jitter, observer or NullObserver()
+        )
         self.health_checks = HealthChecks(settings, self.health, self.recovery)
         self.idle_connections = IdleConnections(settings)
         self.selector = EndpointSelector(
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -15,6 +15,7 @@
 from swiftthread.network.connection_pool import ConnectionPool
 from swiftthread.routing.router import Router
 from swiftthread.server.http_server import HttpServer
+from swiftthread.service.activity import Activity
 from swiftthread.service.admission import AdmissionController
 from swiftthread.service.clocks import monotonic_ms, unix_ms
 from swiftthread.service.delivery import EventDelivery
@@ -52,7 +53,8 @@
         self._log = log
         self._tasks = tasks
         self._buffers = BufferPool()
-        self._router = Router(config.settings, config.seed)
+        self._activity = Activity()
+        self._router = Router(config.settings, config.seed, self._activity)
         self._scheduler = Scheduler(self._router, monotonic_ms, config.settings.tick_ms)
         self._admission = AdmissionController(config.settings.tick_ms)
 
@@ -80,6 +82,7 @@
             delivery=delivery,
             submissions=submissions,
             server=server,
+            activity=self._activity,
             clock=monotonic_ms,
             tasks=self._tasks,
         )
@@ -124,6 +127,7 @@
             log=self._log,
             endpoint_client=endpoint_client,
             notifier=notifier,
+            activity=self._activity,
             stream_type_numbers=self._config.names.stream_type_numbers,
             tenant_numbers=self._config.names.tenant_numbers,
             clock=monotonic_ms,
@@ -137,6 +141,7 @@
             router=self._router,
             log=self._log,
             delivery=delivery,
+            activity=self._activity,
             stream_type_numbers=self._config.names.stream_type_numbers,
             max_pending_bytes=self._limits.max_pending_bytes,
             clock=monotonic_ms,
--- a/swiftthread/service/delivery.py
+++ b/swiftthread/service/delivery.py
@@ -13,6 +13,7 @@
 from swiftthread.routing.events import Event
 from swiftthread.routing.messages import NEVER_RAN, Abandon, Defer, Reject, Send, SendOutcome
 from swiftthread.routing.router import Router
+from swiftthread.service.activity import Activity
 from swiftthread.service.clocks import Clock
 from swiftthread.service.scheduler import Scheduler
 from swiftthread.storage.decision import Decision, FinalOutcome
@@ -41,6 +42,7 @@
         log: WriteAheadLog,
         endpoint_client: EndpointClient,
         notifier: ResultNotifier,
+        activity: Activity,
         stream_type_numbers: dict[str, int],
         tenant_numbers: dict[str | None, int],
         clock: Clock,
@@ -53,6 +55,7 @@
         self._log = log
         self._endpoint_client = endpoint_client
         self._notifier = notifier
+        self._activity = activity
         self._stream_type_numbers = stream_type_numbers
         self._tenant_numbers = tenant_numbers
         self._clock = clock
@@ -120,8 +123,10 @@
             pending.decision = Decision(FinalOutcome.ABANDONED, 0.0)
         self._scheduler.remove(event)
         if pending.decision is not None:
+            self._activity.ends[pending.decision.outcome] += 1
             await self._notify(pending, pending.decision)
         else:
+            self._activity.acked_count += 1
             self._log.append_ended(pending)
         self.pending_bytes -= len(pending.body)
 
@@ -145,6 +150,7 @@
             result = await self._endpoint_client.send(pending, send)
         else:
             result = await self._skip_unlogged_send()
+        self._activity.sends[result.outcome] += 1
         now = await self._scheduler.wait_for_tick()
         answer = self._router.record_outcome(
             event,
--- a/swiftthread/service/log_filter.py
+++ b/swiftthread/service/log_filter.py
@@ -6,6 +6,8 @@
 if TYPE_CHECKING:
     from loguru import Record
 
+# Bound to a line that tells of a change of state, or of an interval: it always passes.
+STATE_CHANGE = {"is_state_change": True}
 # s: one place in the code writes at most one line in so long.
 REPEAT_INTERVAL_S = 5.0
 
@@ -32,6 +34,8 @@
 
     def __call__(self, record: "Record") -> bool:
         """Whether this line passes."""
+        if record["extra"].get("is_state_change"):
+            return True
         place = (record["file"].name, record["line"])
         history = self._history_of.setdefault(place, _PlaceHistory())
         now_s = time.monotonic()
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -15,6 +15,7 @@
 from swiftthread.routing.messages import EndpointEntry
 from swiftthread.routing.router import Router
 from swiftthread.server.http_server import HttpServer
+from swiftthread.service.activity import Activity
 from swiftthread.service.admission import AdmissionController
 from swiftthread.service.clocks import Clock
 from swiftthread.service.delivery import EventDelivery
@@ -44,6 +45,7 @@
     delivery: EventDelivery
     submissions: SubmissionHandler
     server: HttpServer
+    activity: Activity
     clock: Clock
     tasks: TaskGroup
 
@@ -53,6 +55,7 @@
         self.tasks.start_soon(self.notifier.run)
         self.tasks.start_soon(self.scheduler.run, self._on_tick)
         self.tasks.start_soon(self._follow_discovery)
+        self.tasks.start_soon(self.activity.report)
 
     def _on_tick(self, now: float, decided_count: int, late_ms: float) -> None:
         """What a tick leads to besides decisions: batches, admission, health checks, idle connections."""
--- a/swiftthread/service/shutdown.py
+++ b/swiftthread/service/shutdown.py
@@ -43,6 +43,7 @@
         if node.submissions.is_closed and not _has_work(node):
             break
     await node.server.finish(listener, node.tasks)
+    node.activity.log_counts()
     logger.info("stopped; {} events are left in the log", len(node.log.pending))
     node.tasks.cancel_scope.cancel()
 
--- a/swiftthread/service/submissions.py
+++ b/swiftthread/service/submissions.py
@@ -6,6 +6,7 @@
 from swiftthread.routing.router import Router
 from swiftthread.routing.settings import Settings
 from swiftthread.server.messages import AdmissionResult
+from swiftthread.service.activity import Activity, AdmissionOutcome
 from swiftthread.service.clocks import Clock
 from swiftthread.service.delivery import EventDelivery
 from swiftthread.storage.pending_event import PendingEvent
@@ -39,6 +40,7 @@
         router: Router,
         log: WriteAheadLog,
         delivery: EventDelivery,
+        activity: Activity,
         stream_type_numbers: dict[str, int],
         max_pending_bytes: int,
         clock: Clock,
@@ -49,6 +51,7 @@
         self._router = router
         self._log = log
         self._delivery = delivery
+        self._activity = activity
         self._max_age_ms = {
             name: settings.stream_types[number].max_age_ms for name, number in stream_type_numbers.items()
         }
@@ -59,37 +62,49 @@
 
     def admit(self, pending: PendingEvent) -> AdmissionResult:
         """Answer one submission; the delivery of an admitted event starts once its client was answered."""
+        result, outcome = self._admit(pending)
+        self._activity.submissions[outcome] += 1
+        return result
+
+    def _admit(self, pending: PendingEvent) -> tuple[AdmissionResult, AdmissionOutcome]:
         is_same = self._log.matches_known_event(pending)
         if is_same is not None:
             # Submitted again by its client; or another event with the same id, which no answer of ours could
             # tell apart.
-            return AdmissionResult(ADMITTED if is_same else CONFLICT)
+            if is_same:
+                return AdmissionResult(ADMITTED), AdmissionOutcome.KNOWN
+            return AdmissionResult(CONFLICT), AdmissionOutcome.CONFLICT
         now = self._wall_clock()
         max_age_ms = self._max_age_ms[pending.stream_type]
         if not now < pending.expires_at <= now + MAX_REMAINING_AGES * max_age_ms:
-            return AdmissionResult(UNUSABLE)
+            return AdmissionResult(UNUSABLE), AdmissionOutcome.UNUSABLE
         pending.expires_at = min(pending.expires_at, now + max_age_ms)
         destination = self._router.find_destination(pending.destination)
         at = self._clock()
-        is_admitted = (
-            self._has_capacity(pending, destination, at)
-            and not self.is_closed
-            and self._log.append_taken(pending)
-        )
-        if not is_admitted:
-            return AdmissionResult(UNAVAILABLE, retry_after_ms=self._router.retry_after_ms(destination, at))
+        refusal = self._reason_to_refuse(pending, destination, at)
+        if refusal is None and not self._log.append_taken(pending):
+            refusal = AdmissionOutcome.NOT_LOGGED
+        if refusal is not None:
+            retry_after_ms = self._router.retry_after_ms(destination, at)
+            return AdmissionResult(UNAVAILABLE, retry_after_ms=retry_after_ms), refusal
         event = self._delivery.add(pending)
-        return AdmissionResult(ADMITTED, lambda: self._delivery.start(pending, event))
+        result = AdmissionResult(ADMITTED, lambda: self._delivery.start(pending, event))
+        return result, AdmissionOutcome.ADMITTED
 
-    def _has_capacity(self, pending: PendingEvent, destination: Destination | None, now: float) -> bool:
-        """Whether the event can be held, and be sent before a shutdown ends the sends."""
+    def _reason_to_refuse(
+        self, pending: PendingEvent, destination: Destination | None, now: float
+    ) -> AdmissionOutcome | None:
+        """Why the event cannot be held, or not be sent before a shutdown ends the sends; None if it can."""
         if len(self._log.pending) >= self._max_pending_events:
-            return False
+            return AdmissionOutcome.TOO_MANY_EVENTS
         if self._delivery.pending_bytes + len(pending.body) > self._max_pending_bytes:
-            return False
-        if destination is None:  # named by no list yet; the list comes seconds late
-            return False
-        return now + self._router.queue_drain_time_ms(destination, now) <= self.sends_until
+            return AdmissionOutcome.TOO_MANY_BYTES
+        if destination is None:  # the list comes seconds late
+            return AdmissionOutcome.UNKNOWN_DESTINATION
+        drained_at = now + self._router.queue_drain_time_ms(destination, now)
+        if self.is_closed or drained_at > self.sends_until:
+            return AdmissionOutcome.SHUTTING_DOWN
+        return None
 
 
 def _max_pending_events(settings: Settings) -> float:
--- a/tests/service/test_log_filter.py
+++ b/tests/service/test_log_filter.py
@@ -5,7 +5,7 @@
 import pytest
 
 from swiftthread.service import log_filter
-from swiftthread.service.log_filter import REPEAT_INTERVAL_S, RepeatFilter
+from swiftthread.service.log_filter import REPEAT_INTERVAL_S, STATE_CHANGE, RepeatFilter
 
 
 @pytest.fixture
@@ -16,8 +16,8 @@
     return now
 
 
-def make_record(line):
-    return {"file": SimpleNamespace(name="node.py"), "line": line, "message": "lost"}
+def make_record(line, **extra):
+    return {"file": SimpleNamespace(name="node.py"), "line": line, "message": "lost", "extra": extra}
 
 
 def test_each_place_passes_once_an_interval_and_counts_what_it_suppressed(clock):
@@ -30,3 +30,8 @@
     clock.seconds += REPEAT_INTERVAL_S
     record = make_record(1)
     assert is_passed(record) and record["message"] == "lost"
+
+
+def test_changes_of_state_always_pass(clock):
+    is_passed = RepeatFilter()
+    assert [is_passed(make_record(1, **STATE_CHANGE)) for _ in range(3)] == [True] * 3
