One clock for spans: a stepped wall clock moves no deadline, window or stored moment

Cause: PendingEvent.expires_at, the possible executions, RecentlyEndedEvents, admission and the ack of a late response hung on time.time(), and the kernel's receive stamps were taken as moments of it. Set forward, a node took what it owed for expired; set back, an event lived longer and its deduplication window opened again. Now the log has a clock of its own: an epoch set once for each boot from the wall clock, stored beside the log with the boot's id, running on at CLOCK_MONOTONIC. After another boot the wall clock counts, but never behind what the log tells of, and no event gets more time than its max age. A receive stamp counts as its distance from the present wall clock, not before the last read of that connection.

--- a/swiftthread/client/endpoint_call.py
+++ b/swiftthread/client/endpoint_call.py
@@ -30,13 +30,13 @@
 
 
 class EndpointCall:
-    """One call with the sends of a batch. Times are ms on `clock` unless they are named Unix ms."""
+    """One call with the sends of a batch. Times are ms on `clock`, the monotonic one."""
 
     __slots__ = (
         "batch",
         "connections",
         "clock",
-        "wall_clock",
+        "log_clock",
         "send_deadline",
         "started_at",
         "initial_deadlines",
@@ -44,7 +44,6 @@
         "connection",
         "response",
         "written_at",
-        "written_at_unix",
     )
 
     def __init__(
@@ -52,13 +51,13 @@
         batch: Batch,
         connections: EndpointConnections,
         clock: Clock,
-        wall_clock: Clock,
+        log_clock: Clock,
         send_deadline: SendDeadline,
     ) -> None:
         self.batch = batch
         self.connections = connections
         self.clock = clock
-        self.wall_clock = wall_clock
+        self.log_clock = log_clock
         self.send_deadline = send_deadline
         self.started_at = clock()
         # Send deadline of each send, in their order, as it was when the call started.
@@ -69,7 +68,6 @@
         self.connection: Connection | None = None
         self.response = HttpResponse()
         self.written_at = 0.0  # right before the first byte
-        self.written_at_unix = 0.0
 
     async def run(self) -> CompletedCall:
         """Make the call; how it ended, apart from what `response` says."""
@@ -91,11 +89,7 @@
             outcome,
             self._latency_ms(is_refused),
             is_first_on_connection=connection is not None and connection.idle_since is None,
-            received_at=(
-                self.wall_clock()
-                if connection is None or connection.received_at is None
-                else connection.received_at
-            ),
+            received_at=self.log_clock() - self._response_age_ms(),
         )
 
     async def finish_early(self) -> None:
@@ -123,7 +117,6 @@
         request = build_send_request(events, respond_by - self.clock())
         parts = encode_request(self.connection, request)
         self.written_at = self.clock()
-        self.written_at_unix = self.wall_clock()
         self.connection.received_at = None
         return await self._exchange(self.connection, parts, write_by, respond_by)
 
@@ -182,6 +175,12 @@
             await receive(connection, self.response, response_scope)
         return self.response.is_complete or connection.is_all_acknowledged()
 
+    def _response_age_ms(self) -> float:
+        """Ms for which the kernel has had the response; 0 when it does not say."""
+        if self.connection is None or self.connection.received_at is None:
+            return 0.0
+        return self.clock() - self.connection.received_at
+
     def _latency_ms(self, is_refused: bool) -> float:
         """From the write to the response, or from the start to the end of a call without one.
 
@@ -190,7 +189,4 @@
         """
         if self.connection is None or not (self.response.has_begun or self.response.is_complete):
             return 0.0 if is_refused else self.clock() - self.started_at
-        measured_ms = self.clock() - self.written_at
-        if self.connection.received_at is None:
-            return measured_ms
-        return min(measured_ms, max(0.0, self.connection.received_at - self.written_at_unix))
+        return max(0.0, self.clock() - self._response_age_ms() - self.written_at)
--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -42,7 +42,7 @@
         connections: ConnectionPool,
         buffers: BufferPool,
         clock: Clock,
-        wall_clock: Clock,
+        log_clock: Clock,
         addresses: Mapping[str | int, Address],
         connect_timeout_ms: float,
         report_fields: Collection[str],
@@ -55,7 +55,7 @@
             connections: Idle connections.
             buffers: Buffers for reads.
             clock: Monotonic time in ms.
-            wall_clock: Unix time in ms.
+            log_clock: ms on the clock of the log.
             addresses: (host, port) by endpoint id, kept up to date by its owner.
             connect_timeout_ms: How long a connect, or a whole health check, may take.
             report_fields: Names of the fields of a load report; empty where endpoints send none.
@@ -64,7 +64,7 @@
         self.tasks = tasks
         self.connections = EndpointConnections(connections, buffers, addresses, connect_timeout_ms)
         self.clock = clock
-        self.wall_clock = wall_clock
+        self.log_clock = log_clock
         self.connect_timeout_ms = connect_timeout_ms
         self.report_fields = report_fields
         self.send_deadline = send_deadline
@@ -96,7 +96,7 @@
 
     async def _call(self, batch: Batch) -> None:
         """Make one call, and finish each send in it."""
-        call = EndpointCall(batch, self.connections, self.clock, self.wall_clock, self.send_deadline)
+        call = EndpointCall(batch, self.connections, self.clock, self.log_clock, self.send_deadline)
         if len(batch.sends) > 1:
             self.tasks.start_soon(call.finish_early)
         completed = await call.run()
--- a/swiftthread/client/endpoint_response.py
+++ b/swiftthread/client/endpoint_response.py
@@ -52,7 +52,7 @@
     latency_ms: float
     is_first_on_connection: bool
     received_at: float
-    """Unix ms at which the kernel had the response."""
+    """When the kernel had the response, in ms on the clock of the log."""
 
 
 def read_results(
--- a/swiftthread/service/clocks.py
+++ b/swiftthread/clocks.py
@@ -1,4 +1,4 @@
-"""Clocks of the node, in ms."""
+"""Clocks, in ms. Spans are measured on the monotonic one; the wall clock may be stepped at any time."""
 
 import time
 from collections.abc import Callable
@@ -8,10 +8,10 @@
 
 
 def monotonic_ms() -> float:
-    """The router's clock: it only goes forward, and means nothing to another process."""
+    """The clock of all spans: it only goes forward, and means nothing after another boot of the machine."""
     return time.monotonic() * 1000.0
 
 
 def unix_ms() -> float:
-    """Unix time, for moments that must mean the same after a restart."""
+    """The wall clock."""
     return time.time() * 1000.0
--- a/swiftthread/network/connection.py
+++ b/swiftthread/network/connection.py
@@ -13,6 +13,7 @@
 import anyio
 import h11
 
+from swiftthread.clocks import monotonic_ms, unix_ms
 from swiftthread.network import timestamps
 from swiftthread.network.address import Address
 from swiftthread.network.buffer_pool import BufferPool
@@ -24,6 +25,8 @@
 TCP_CLOSE_WAIT = 8
 # Linger on, 0 s: what has not been delivered by the close never will be.
 LINGER_NOT_AT_ALL = struct.pack("ii", 1, 0)
+# For so long at most a connection that came up waits to be accepted with somebody at its other end.
+MAX_ACCEPT_DELAY_MS = 3000.0
 UNACKNOWLEDGED_BYTES = struct.Struct("i")  # the result of TIOCOUTQ
 
 
@@ -46,7 +49,7 @@
 
     Attributes:
         idle_since: When a pool last took it in, on the pool's clock; None before its first use is over.
-        received_at: Unix ms at which the kernel had the bytes read last; None when it does not say.
+        received_at: Monotonic ms at which the kernel had the bytes read last; None when it does not say.
     """
 
     def __init__(self, sock: socket.socket, buffers: BufferPool, parser: h11.Connection) -> None:
@@ -57,6 +60,9 @@
         self.parser = parser
         self.idle_since: float | None = None
         self.received_at: float | None = None
+        # Monotonic ms. Bytes read later had not arrived then, but for the first: they may have come while the
+        # connection waited to be accepted.
+        self._last_read_at = monotonic_ms() - MAX_ACCEPT_DELAY_MS
 
     def enable_timestamps(self) -> Self:
         """Fill `received_at` from now on, so that a late read is told from a late arrival."""
@@ -89,7 +95,9 @@
         try:
             with self.buffers.borrow() as buffer:
                 size, ancillary_data, _, _ = self.socket.recvmsg_into([buffer], timestamps.ANCILLARY_BYTES)
-                received_at = timestamps.received_at_ms(ancillary_data)
+                now = monotonic_ms()
+                received_at = timestamps.arrived_at_ms(ancillary_data, now, unix_ms(), self._last_read_at)
+                self._last_read_at = now
                 if received_at is not None:
                     self.received_at = received_at
                 self.parser.receive_data(bytes(buffer[:size]))
--- a/swiftthread/server/http_server.py
+++ b/swiftthread/server/http_server.py
@@ -57,7 +57,7 @@
         stream_types: Container[str],
         buffers: BufferPool,
         limits: ConnectionLimits,
-        wall_clock: Callable[[], float],
+        log_clock: Callable[[], float],
         first_request_ms: float,
         request_ms: float,
         idle_ms: float,
@@ -71,7 +71,7 @@
             stream_types: Names of the stream types that the node serves.
             buffers: Receive buffers.
             limits: How many connections clients may have.
-            wall_clock: Gives Unix ms.
+            log_clock: Gives ms on the clock of the log.
             first_request_ms: From the accept to the last byte of a connection's first request.
             request_ms: From the first byte of a request to its last.
             idle_ms: From an answer to the first byte of the next request.
@@ -87,7 +87,7 @@
         self._request_tick = request_tick
         self._admission_queue = AdmissionQueue(admission, request_tick)
         self._reader = RequestReader(
-            self.connections, self._admission_queue, wall_clock, first_request_ms, request_ms, idle_ms
+            self.connections, self._admission_queue, log_clock, first_request_ms, request_ms, idle_ms
         )
 
     async def serve(self, listener: socket.socket, tasks: TaskGroup) -> None:
--- a/swiftthread/server/request_reader.py
+++ b/swiftthread/server/request_reader.py
@@ -5,6 +5,7 @@
 import anyio
 import h11
 
+from swiftthread.clocks import monotonic_ms
 from swiftthread.network.connection import Connection, ConnectionClosed
 from swiftthread.server.admission_queue import AdmissionQueue
 from swiftthread.server.connection_table import ConnectionState, ConnectionTable
@@ -23,7 +24,7 @@
         self,
         connections: ConnectionTable,
         admission_queue: AdmissionQueue,
-        wall_clock: Callable[[], float],
+        log_clock: Callable[[], float],
         first_request_ms: float,
         request_ms: float,
         idle_ms: float,
@@ -33,14 +34,14 @@
         Args:
             connections: States of the connections.
             admission_queue: Where a request waits before it is read.
-            wall_clock: Gives Unix ms.
+            log_clock: Gives ms on the clock of the log.
             first_request_ms: From the accept to the last byte of the first request.
             request_ms: From the first byte of a request to its last.
             idle_ms: From an answer to the first byte of the next request.
         """
         self._connections = connections
         self._admission_queue = admission_queue
-        self._wall_clock = wall_clock
+        self._log_clock = log_clock
         self._first_request_ms = first_request_ms
         self._request_ms = request_ms
         self._idle_ms = idle_ms
@@ -90,7 +91,8 @@
                     raise BadRequest(HttpStatus.CONTENT_TOO_LARGE)
             elif isinstance(part, h11.EndOfMessage):
                 assert head is not None  # the parser yields the head first
-                return Request(head, bytes(body), received_at_ms or self._wall_clock())
+                age_ms = 0.0 if received_at_ms is None else monotonic_ms() - received_at_ms
+                return Request(head, bytes(body), self._log_clock() - age_ms)
             else:
                 raise ConnectionClosed(request_was_written=True)
 
--- a/swiftthread/server/submission.py
+++ b/swiftthread/server/submission.py
@@ -44,7 +44,7 @@
     head: RequestHead
     body: bytes
     received_at_ms: float
-    """Unix ms at which its first bytes arrived."""
+    """When its first bytes arrived, in ms on the clock of the log."""
 
     def is_health_check(self) -> bool:
         """Whether it asks after the node's health."""
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -10,6 +10,7 @@
 from swiftthread.client.endpoint_client import EndpointClient
 from swiftthread.client.http_exchange import UNREADABLE
 from swiftthread.client.result_notifier import ResultNotifier
+from swiftthread.clocks import Clock, monotonic_ms
 from swiftthread.configuration.node_config import NodeConfig
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.connection_pool import ConnectionPool
@@ -17,7 +18,6 @@
 from swiftthread.server.http_server import HttpServer
 from swiftthread.service.activity import Activity
 from swiftthread.service.admission import AdmissionController
-from swiftthread.service.clocks import monotonic_ms, unix_ms
 from swiftthread.service.delivery import EventDelivery
 from swiftthread.service.limits import (
     CLIENT_IDLE_TIMEOUT_MS,
@@ -44,13 +44,22 @@
         config: What the node is told at start.
         limits: What it may use.
         log: Its open log, which outlives the node.
+        log_clock: The clock of the moments that the log stores.
         tasks: Where its tasks run.
     """
 
-    def __init__(self, config: NodeConfig, limits: Limits, log: WriteAheadLog, tasks: TaskGroup) -> None:
+    def __init__(
+        self,
+        config: NodeConfig,
+        limits: Limits,
+        log: WriteAheadLog,
+        log_clock: Clock,
+        tasks: TaskGroup,
+    ) -> None:
         self._config = config
         self._limits = limits
         self._log = log
+        self._log_clock = log_clock
         self._tasks = tasks
         self._buffers = BufferPool()
         self._activity = Activity()
@@ -105,7 +114,7 @@
             connections=connections,
             buffers=self._buffers,
             clock=monotonic_ms,
-            wall_clock=unix_ms,
+            log_clock=self._log_clock,
             addresses=discovery.addresses,
             connect_timeout_ms=self._limits.connect_timeout_ms,
             report_fields=self._config.report_fields,
@@ -131,7 +140,7 @@
             stream_type_numbers=self._config.names.stream_type_numbers,
             tenant_numbers=self._config.names.tenant_numbers,
             clock=monotonic_ms,
-            wall_clock=unix_ms,
+            log_clock=self._log_clock,
             tasks=self._tasks,
         )
 
@@ -145,7 +154,7 @@
             stream_type_numbers=self._config.names.stream_type_numbers,
             max_pending_bytes=self._limits.max_pending_bytes,
             clock=monotonic_ms,
-            wall_clock=unix_ms,
+            log_clock=self._log_clock,
         )
 
     def _build_server(self, submissions: SubmissionHandler) -> HttpServer:
@@ -154,7 +163,7 @@
             stream_types=self._config.names.stream_type_numbers,
             buffers=self._buffers,
             limits=self._limits,
-            wall_clock=unix_ms,
+            log_clock=self._log_clock,
             first_request_ms=FIRST_REQUEST_TIMEOUT_MS,
             request_ms=REQUEST_TIMEOUT_MS,
             idle_ms=CLIENT_IDLE_TIMEOUT_MS,
--- a/swiftthread/service/delivery.py
+++ b/swiftthread/service/delivery.py
@@ -10,11 +10,11 @@
 from swiftthread.client.endpoint_client import EndpointClient
 from swiftthread.client.result_notifier import ResultNotifier
 from swiftthread.client.send_result import SendResult
+from swiftthread.clocks import Clock
 from swiftthread.routing.events import Event
 from swiftthread.routing.messages import NEVER_RAN, Abandon, Defer, Reject, Send, SendOutcome
 from swiftthread.routing.router import Router
 from swiftthread.service.activity import Activity
-from swiftthread.service.clocks import Clock
 from swiftthread.service.scheduler import Scheduler
 from swiftthread.storage.decision import Decision, FinalOutcome
 from swiftthread.storage.pending_event import PendingEvent
@@ -46,7 +46,7 @@
         stream_type_numbers: dict[str, int],
         tenant_numbers: dict[str | None, int],
         clock: Clock,
-        wall_clock: Clock,
+        log_clock: Clock,
         tasks: TaskGroup,
     ) -> None:
         self.pending_bytes = 0
@@ -59,22 +59,25 @@
         self._stream_type_numbers = stream_type_numbers
         self._tenant_numbers = tenant_numbers
         self._clock = clock
-        self._wall_clock = wall_clock
+        self._log_clock = log_clock
         self._tasks = tasks
 
     def add(self, pending: PendingEvent) -> Event:
         """Hand an event to the router, with what the log knows of its attempts."""
         now = self._clock()
-        wall_now = self._wall_clock()
+        log_now = self._log_clock()
         if self._tenant_numbers and pending.tenant not in self._tenant_numbers:
             logger.warning(
                 "{}: tenant {!r} is none of the settings'; it has no quota", pending.event_id, pending.tenant
             )
+        stream_type_number = self._stream_type_numbers[pending.stream_type]
+        # After another boot the clock may be behind: no event gets more time than it ever had.
+        max_age_ms = self._router.stream_types[stream_type_number].max_age_ms
         event: Event = self._router.add_event(
             now,
-            self._stream_type_numbers[pending.stream_type],
+            stream_type_number,
             pending.destination,
-            pending.expires_at - wall_now,
+            min(pending.expires_at - log_now, max_age_ms),
             self._tenant_numbers.get(pending.tenant),
             pending.ordering_key,
         )
@@ -82,8 +85,8 @@
         event.attempts = pending.attempts
         if pending.may_have_run is not None:
             sent_at, group = pending.may_have_run
-            # The wall clock may have been set back meanwhile: an attempt is never ahead of us.
-            event.may_have_run_at = now - max(0.0, wall_now - sent_at)
+            # After another boot the clock may be behind: an attempt is never ahead of us.
+            event.may_have_run_at = now - max(0.0, log_now - sent_at)
             event.may_have_run_group = group
         self.pending_bytes += len(pending.body)
         return event
@@ -182,7 +185,7 @@
         A process that comes back and knows nothing of it would deliver an event that its client has submitted
         elsewhere.
         """
-        while not self._log.append_decision(pending, decision) and self._wall_clock() < pending.expires_at:
+        while not self._log.append_decision(pending, decision) and self._log_clock() < pending.expires_at:
             await anyio.sleep(LOG_RETRY_PAUSE_MS / 1000.0)
         await self._notifier.notify(pending.event_id, decision)
         self._log.append_ended(pending)
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -10,6 +10,7 @@
 from swiftthread.client.discovery_client import DiscoveryClient
 from swiftthread.client.endpoint_client import EndpointClient
 from swiftthread.client.result_notifier import ResultNotifier
+from swiftthread.clocks import Clock
 from swiftthread.network.connection_pool import ConnectionPool
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.messages import EndpointEntry
@@ -17,7 +18,6 @@
 from swiftthread.server.http_server import HttpServer
 from swiftthread.service.activity import Activity
 from swiftthread.service.admission import AdmissionController
-from swiftthread.service.clocks import Clock
 from swiftthread.service.delivery import EventDelivery
 from swiftthread.service.scheduler import Scheduler
 from swiftthread.service.submissions import SubmissionHandler
--- a/swiftthread/service/scheduler.py
+++ b/swiftthread/service/scheduler.py
@@ -11,10 +11,10 @@
 from anyio.lowlevel import checkpoint
 from loguru import logger
 
+from swiftthread.clocks import Clock
 from swiftthread.routing.events import Destination, Event
 from swiftthread.routing.messages import Abandon, Reject, Send
 from swiftthread.routing.router import Router
-from swiftthread.service.clocks import Clock
 from swiftthread.service.pending_queues import EventDecision, PendingQueues
 
 Result = TypeVar("Result")
--- a/swiftthread/service/shutdown.py
+++ b/swiftthread/service/shutdown.py
@@ -6,7 +6,7 @@
 import anyio
 from loguru import logger
 
-from swiftthread.service.clocks import monotonic_ms
+from swiftthread.clocks import monotonic_ms
 from swiftthread.service.node import Node
 
 # ms after SIGTERM in which events are admitted: new connections come for 0.4 s and are answered.
--- a/swiftthread/service/startup.py
+++ b/swiftthread/service/startup.py
@@ -9,11 +9,11 @@
 
 from swiftthread.configuration.node_config import NodeConfig
 from swiftthread.network.listener import open_listener
-from swiftthread.service.clocks import unix_ms
 from swiftthread.service.composition import NodeBuilder
 from swiftthread.service.limits import Limits
 from swiftthread.service.reload import reload_config
 from swiftthread.service.shutdown import begin_shutdown
+from swiftthread.storage.log_clock import LogClock
 from swiftthread.storage.write_ahead_log import WriteAheadLog
 
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
@@ -39,12 +39,16 @@
     limits = Limits(
         config.limits, settings.max_calls_in_flight, settings.keepalive_ms, settings.connect_timeout_ms
     )
-    with contextlib.closing(WriteAheadLog(config.state_directory, limits.disk_bytes, unix_ms)) as log:
+    clock = LogClock(config.state_directory)
+    with contextlib.closing(WriteAheadLog(config.state_directory, limits.disk_bytes, clock.now_ms)) as log:
+        if clock.is_new_boot:
+            clock.advance_to(log.latest_send_at())
+            clock.store()
         for warning in config.settings_warnings:
             logger.warning(warning)
         _report_damage(log)
         async with anyio.create_task_group() as tasks:
-            node = NodeBuilder(config, limits, log, tasks).build()
+            node = NodeBuilder(config, limits, log, clock.now_ms, tasks).build()
             node.start()
             listener = open_listener(config.listen, limits.backlog)
             with contextlib.ExitStack() as resources:
--- a/swiftthread/service/submissions.py
+++ b/swiftthread/service/submissions.py
@@ -2,12 +2,12 @@
 
 import math
 
+from swiftthread.clocks import Clock
 from swiftthread.routing.events import Destination
 from swiftthread.routing.router import Router
 from swiftthread.routing.settings import Settings
 from swiftthread.server.messages import AdmissionResult
 from swiftthread.service.activity import Activity, AdmissionOutcome
-from swiftthread.service.clocks import Clock
 from swiftthread.service.delivery import EventDelivery
 from swiftthread.storage.pending_event import PendingEvent
 from swiftthread.storage.write_ahead_log import WriteAheadLog
@@ -44,7 +44,7 @@
         stream_type_numbers: dict[str, int],
         max_pending_bytes: int,
         clock: Clock,
-        wall_clock: Clock,
+        log_clock: Clock,
     ) -> None:
         self.sends_until = math.inf
         self.is_closed = False
@@ -58,7 +58,7 @@
         self._max_pending_events = _max_pending_events(settings)
         self._max_pending_bytes = max_pending_bytes
         self._clock = clock
-        self._wall_clock = wall_clock
+        self._log_clock = log_clock
 
     def admit(self, pending: PendingEvent) -> AdmissionResult:
         """Answer one submission; the delivery of an admitted event starts once its client was answered."""
@@ -74,7 +74,7 @@
             if is_same:
                 return AdmissionResult(ADMITTED), AdmissionOutcome.KNOWN
             return AdmissionResult(CONFLICT), AdmissionOutcome.CONFLICT
-        now = self._wall_clock()
+        now = self._log_clock()
         max_age_ms = self._max_age_ms[pending.stream_type]
         if not now < pending.expires_at <= now + MAX_REMAINING_AGES * max_age_ms:
             return AdmissionResult(UNUSABLE), AdmissionOutcome.UNUSABLE
--- a/swiftthread/storage/pending_event.py
+++ b/swiftthread/storage/pending_event.py
@@ -14,7 +14,7 @@
     """A send of which the endpoint may have executed the event.
 
     Attributes:
-        at: When it was sent, in Unix ms.
+        at: When it was sent, in ms on the clock of the log.
         group: The deduplication group that it was sent to, a zone or an endpoint; None where there is none.
     """
 
@@ -35,7 +35,7 @@
         idempotency_key: The client's idempotency key; empty where it sent none.
         stream_type: Name of the stream type.
         destination: Number of the destination.
-        expires_at: Unix ms after which the event must not be sent.
+        expires_at: When it must not be sent any more, in ms on the clock of the log.
         tenant: Name of the tenant; None where the client named none.
         ordering_key: Number of the ordering key; 0 where there is none.
         body: The event's body.
--- a/swiftthread/storage/recently_ended.py
+++ b/swiftthread/storage/recently_ended.py
@@ -12,7 +12,7 @@
     """What is remembered of an ended event.
 
     Attributes:
-        ended_at: Unix ms of its end, or of the start that read of it in the log.
+        ended_at: When it ended (ms on the clock of the log), or of the start that read of it in the log.
         fingerprint: See `PendingEvent.fingerprint`; None where an old log names none.
     """
 
@@ -23,8 +23,8 @@
 class RecentlyEndedEvents:
     """The ids that ended within `RETENTION_MS`, oldest first."""
 
-    def __init__(self, wall_clock: Callable[[], float]) -> None:
-        self._wall_clock = wall_clock
+    def __init__(self, log_clock: Callable[[], float]) -> None:
+        self._log_clock = log_clock
         self._events: dict[str, EndedEvent] = {}
 
     def __len__(self) -> int:
@@ -32,7 +32,7 @@
 
     def add(self, event_id: str, fingerprint: str | None) -> None:
         """Remember an event that ends now."""
-        self._events[event_id] = EndedEvent(self._wall_clock(), fingerprint)
+        self._events[event_id] = EndedEvent(self._log_clock(), fingerprint)
 
     def discard(self, event_id: str) -> None:
         """Forget an id, if it is there."""
@@ -50,6 +50,6 @@
         """Forget the ids that ended too long ago."""
         while self._events:
             oldest_id = next(iter(self._events))
-            if self._events[oldest_id].ended_at >= self._wall_clock() - RETENTION_MS:
+            if self._events[oldest_id].ended_at >= self._log_clock() - RETENTION_MS:
                 return
             del self._events[oldest_id]
--- a/swiftthread/storage/write_ahead_log.py
+++ b/swiftthread/storage/write_ahead_log.py
@@ -42,21 +42,21 @@
         unreadable_ranges: (begin, end) of the other bytes of it that could not be read.
     """
 
-    def __init__(self, folder: str, disk_bytes: int, wall_clock: Callable[[], float]) -> None:
+    def __init__(self, folder: str, disk_bytes: int, log_clock: Callable[[], float]) -> None:
         """Open the log in a folder and read it.
 
         Args:
             folder: Where the file is, or is to be made.
             disk_bytes: What the node may use of the disk.
-            wall_clock: Returns Unix ms.
+            log_clock: Returns ms on the clock of stored moments, see `LogClock`.
 
         Raises:
             OSError: The file cannot be opened, read, or rid of a torn record.
         """
-        self._wall_clock = wall_clock
+        self._log_clock = log_clock
         self._table = PendingEventTable(int(MAX_LIVE_DISK_SHARE * disk_bytes))
         self.pending = self._table.events
-        self.recently_ended = RecentlyEndedEvents(wall_clock)
+        self.recently_ended = RecentlyEndedEvents(log_clock)
         self._file = LogFile(folder, int(MAX_FILE_DISK_SHARE * disk_bytes))
         try:
             replay = self._replay()
@@ -96,6 +96,16 @@
         """Bytes of the log that the pending events may need at most."""
         return self._table.live_bytes
 
+    def latest_send_at(self) -> float:
+        """The latest moment that the log tells of: that of a send of a pending event; 0 for none."""
+        sends = [
+            send.at
+            for pending in self.pending.values()
+            for send in (pending.send_in_flight, pending.may_have_run)
+            if send is not None
+        ]
+        return max(sends, default=0.0)
+
     def matches_known_event(self, pending: PendingEvent) -> bool | None:
         """Whether the event known under this id is the same submission; None where the id is not known."""
         self.recently_ended.expire()
@@ -120,7 +130,7 @@
 
     def append_sent(self, pending: PendingEvent, group: int | str | None) -> bool:
         """Note a send before its first byte; False when it must not go, for the log cannot be written."""
-        send = PossibleExecution(self._wall_clock(), group)
+        send = PossibleExecution(self._log_clock(), group)
         if not self._try_append(pending, sent_record(pending.event_id, send)):
             return False
         pending.note_send(send)
--- a/tests/client/test_health_check.py
+++ b/tests/client/test_health_check.py
@@ -29,7 +29,7 @@
             connections=pool,
             buffers=BufferPool(),
             clock=lambda: 0.0,
-            wall_clock=lambda: 0.0,
+            log_clock=lambda: 0.0,
             addresses=addresses,
             connect_timeout_ms=1500.0,
             report_fields=(),
--- a/tests/server/test_connection_close.py
+++ b/tests/server/test_connection_close.py
@@ -44,7 +44,7 @@
             stream_types={"once": 0},
             buffers=BufferPool(),
             limits=Limits({"sockets": 256}, 8, 5000.0, 500.0),
-            wall_clock=lambda: 0.0,
+            log_clock=lambda: 0.0,
             first_request_ms=60000.0,
             request_ms=60000.0,
             idle_ms=idle_ms,
--- a/tests/storage/log_fixtures.py
+++ b/tests/storage/log_fixtures.py
@@ -4,11 +4,11 @@
 from swiftthread.storage.write_ahead_log import WriteAheadLog
 
 DISK_BYTES = 3_000_000
-NOW = 1000.0  # Unix ms
+NOW = 1000.0  # ms on the clock of the log
 
 
-def open_log(folder, wall_clock=lambda: NOW):
-    return WriteAheadLog(str(folder), DISK_BYTES, wall_clock)
+def open_log(folder, log_clock=lambda: NOW):
+    return WriteAheadLog(str(folder), DISK_BYTES, log_clock)
 
 
 def pending_event(event_id="evt-1", **changes):
