--- a/tests/support/cold_destination.py
+++ b/tests/support/cold_destination.py
@@ -49,6 +49,8 @@
     cold_share: float = 0.15
     load: float = 0.8
     """Events a second, as a share of the limit of all routes."""
+    restarted_share: float = 0.0
+    """Of the nodes, killed and started again at some moment of the outage."""
 
     @property
     def back_at(self):
@@ -187,5 +189,8 @@
         moment += chance.expovariate(terms.load * terms.limit_per_s * terms.routes / 1000.0)
         member = chance.choices(fleet.members, shares)[0]
         member.schedule(moment, member.submit, ticket, 0, chance.randrange(len(STREAM_TYPES)))
+    for member in chance.sample(fleet.members, int(terms.restarted_share * terms.nodes)):
+        restarts_at = terms.out_at + chance.uniform(0.2, 1.0) * terms.lasts
+        member.schedule(restarts_at, member.restart, entries)
     fleet.run_until(end)
     return list(routes.values())
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -75,6 +75,8 @@
         heapq.heappush(self.fleet.todo, (moment, next(self.fleet.turn), self, act, args))
 
     def end_attempt(self, ticket, endpoint, outcome, delay, retry_after_ms=0.0):
+        if ticket not in self.session.in_flight:
+            return  # it was a call of the process before a restart
         if outcome != SendOutcome.CONNECTION_LIMIT:
             super().end_attempt(ticket, endpoint, outcome, delay, retry_after_ms)
             return
--- a/tests/support/simulated_node.py
+++ b/tests/support/simulated_node.py
@@ -16,6 +16,7 @@
 from swiftthread.simulator.sessions import Session
 
 TRACES = Path(__file__).parents[1] / "traces"
+RESTARTED_TICKETS = 1_000_000  # added to the ticket of an event that a restart found
 CODES = {outcome: code for code, outcome in OUTCOMES_BY_CODE.items()}
 
 
@@ -36,7 +37,8 @@
             "cold_capacity_share": 0.2,
             "warm_up_ms": 8000.0,
         } | settings
-        self.session = Session(1, 7, Settings(**settings), ["x0", "x1"])
+        self.settings = Settings(**settings)
+        self.session = Session(1, 7, self.settings, ["x0", "x1"])
         self.answers = answers
         self.lines = []
         self.now = 0.0
@@ -80,6 +82,19 @@
         )
         self.session.record_attempt(result, self.now, self)
 
+    def restart(self, endpoints):
+        """Come back as another process: it has the events that were pending, and knows of no outcome."""
+        survivors = list(self.session.pending.items())
+        stream_types = self.session.router.stream_types
+        uniform = self.session.router.random_uniform
+        self.session = Session(1, 7, self.settings, ["x0", "x1"])
+        self.session.router.random_uniform = uniform
+        self.apply_endpoint_list(endpoints, True)
+        for ticket, event in survivors:
+            stream = stream_types.index(event.stream_type)
+            left = event.expires_at - self.now
+            self.submit(ticket + RESTARTED_TICKETS, event.destination.number, stream, left)
+
     def withdraw(self, ticket):
         self.session.withdraw(ticket, self.now)
 
