Rejected connections count towards an outage and back off; batches ack by whole responses

Changes: the pause doubles with each such answer in a row, up to that of trials; two of them, or one and another failure, with none acked at the destination for a second, hold the endpoint to be down; the rate is still not cut. The even share of a route counts the nodes with an event for any route of its destination, since each meets them all. An incomplete response of several is a reset for each.

--- a/swiftthread/client/endpoint_response.py
+++ b/swiftthread/client/endpoint_response.py
@@ -76,10 +76,10 @@
     states: dict[str, EventState] = {}
     if response.first_line_status == 200 and in_call_count == 1:
         outcome = SendOutcome.ACKED  # whatever follows its first line
-    elif response.status == 200:
+    elif response.status == 200 and response.is_complete:
+        # An event of several is delivered with the end of the response: a part of it counts for nothing.
         states = _parse_states(response.body)
-        # For an event that the response leaves out.
-        outcome = SendOutcome.RESET if response.is_complete else call.outcome
+        outcome = SendOutcome.RESET  # for an event that the response leaves out
     elif response.is_complete:
         outcome = _outcome_of_error(response, call, has_retry_after=retry_after_ms > 0)
     else:
--- a/swiftthread/routing/endpoint.py
+++ b/swiftthread/routing/endpoint.py
@@ -53,6 +53,8 @@
     has_passed_probe: bool = False
     warming_since: float = -math.inf
 
+    consecutive_full_tables: int = 0
+    """Calls in a row that were rejected with their connection."""
     table_full_at: float = -math.inf
     """When it last looked short of room for connections."""
     retry_at: float = -math.inf
--- a/swiftthread/routing/health.py
+++ b/swiftthread/routing/health.py
@@ -32,6 +32,11 @@
 MIN_TRIAL_PAUSE_MS = 300.0
 # Bounds of the random factor of the pause after a full connection table.
 FULL_TABLE_PAUSE_FACTORS = (0.5, 1.5)
+# Factor by which that pause grows with each such answer in a row, up to the pause between trials.
+FULL_TABLE_BACKOFF = 2.0
+MAX_BACKOFF_DOUBLINGS = 10
+# Such answers in a row that are held to be an outage where none was acked for `LONE_FAILURE_MS` before.
+MAX_FULL_TABLES = 2
 # Share of the time for a connect: one that fails sooner was refused, not unanswered.
 PROMPT_CONNECT_SHARE = 0.5
 # ms for which a stream type is not sent to an endpoint that failed it; some latency objectives.
@@ -105,13 +110,28 @@
             self._record_error(endpoint, outcome, now, latency_ms)
 
     def _record_full_table(self, endpoint: Endpoint, now: float) -> None:
-        """Neither its limit nor its health: the endpoint answered that its table of connections is full."""
+        """Not its limit, and not its health while it acks others: its table of connections is full.
+
+        Hurts where a table stays full for seconds under ordinary load.
+        """
         endpoint.table_full_at = now
-        endpoint.retry_at = now + MIN_TRIAL_PAUSE_MS * self.jitter.uniform(*FULL_TABLE_PAUSE_FACTORS)
+        trial_pause_ms = self.recovery.mean_trial_pause_ms(endpoint, now)
+        backoff = FULL_TABLE_BACKOFF ** min(endpoint.consecutive_full_tables, MAX_BACKOFF_DOUBLINGS)
+        pause_ms = min(MIN_TRIAL_PAUSE_MS * backoff, max(MIN_TRIAL_PAUSE_MS, trial_pause_ms))
+        endpoint.retry_at = now + pause_ms * self.jitter.uniform(*FULL_TABLE_PAUSE_FACTORS)
+        endpoint.consecutive_full_tables += 1
+        if endpoint.is_down or endpoint.consecutive_full_tables < MAX_FULL_TABLES:
+            return
+        # An endpoint that is out may reject nothing but connections, and nodes that come again and again at a
+        # fixed pause are all there when it returns.
+        if self._unacked_ms(endpoint, now) > LONE_FAILURE_MS:
+            endpoint.consecutive_failures = max(endpoint.consecutive_failures, 1)
+            self._mark_down(endpoint, SendOutcome.CONNECTION_LIMIT, now)
 
     def _record_ack(self, endpoint: Endpoint, now: float, latency_ms: float) -> None:
         endpoint.acked_at = now
         endpoint.consecutive_failures = 0
+        endpoint.consecutive_full_tables = 0
         endpoint.failure_ratio = endpoint.failure_ratio * (1 - FAILURE_SMOOTHING)
         if endpoint.is_down:
             self._begin_warm_up(endpoint, now)
@@ -177,7 +197,10 @@
         """Whether failures or rejections in a row are more than chance."""
         # Most nodes meet an outage with a call or two. On the return the sum of their calls counts: those
         # that go on at their usual rate push the destination over, however well the others slow down.
-        failures = sum(other.consecutive_failures for other in endpoint.destination.endpoints)
+        failures = sum(
+            other.consecutive_failures + other.consecutive_full_tables
+            for other in endpoint.destination.endpoints
+        )
         if outcome != SendOutcome.RESET and failures >= MAX_UNACKED_FAILURES:
             return self._has_destination_long_acked_nothing(endpoint, now)
         return (
@@ -203,8 +226,13 @@
         return now - last_sign_at > LONE_FAILURE_MS
 
     def _has_destination_long_acked_nothing(self, endpoint: Endpoint, now: float) -> bool:
-        return self._has_long_acked_nothing(endpoint, now) and all(
-            self._has_long_acked_nothing(other, now) for other in endpoint.destination.endpoints
+        return self._unacked_ms(endpoint, now) > LONE_FAILURE_MS
+
+    def _unacked_ms(self, endpoint: Endpoint, now: float) -> float:
+        """Ms since its destination acked a call, or an endpoint of it was to be warm."""
+        return min(
+            now - max(other.acked_at, self.recovery.warm_up_ends_at(other))
+            for other in [endpoint, *endpoint.destination.endpoints]
         )
 
     @staticmethod
--- a/swiftthread/routing/rate_limiter.py
+++ b/swiftthread/routing/rate_limiter.py
@@ -211,11 +211,17 @@
         """Keep the rate that a list names, without holding it true."""
         self.rate_as_listed = listed_rate or self.rate_as_listed
 
-    def share_among_nodes(self, span_ms: float) -> float:
-        """The listed rate by the nodes that can be expected to have an event here in a span, at the limit."""
+    def share_among_nodes(self, span_ms: float, demand_rate: float | None = None) -> float:
+        """The listed rate by the nodes that can be expected to have an event here in a span.
+
+        Args:
+            span_ms: The span.
+            demand_rate: Events per ms that come here; None is the listed rate, at the limit.
+        """
         assert self.listed_rate is not None
         nodes = self.sharing.node_count
-        return self.listed_rate / max(1.0, nodes * -math.expm1(-self.listed_rate * span_ms / nodes))
+        demand_rate = demand_rate or self.listed_rate
+        return self.listed_rate / max(1.0, nodes * -math.expm1(-demand_rate * span_ms / nodes))
 
     def ready_at(self) -> float:
         """When the next call may go."""
--- a/swiftthread/routing/recovery.py
+++ b/swiftthread/routing/recovery.py
@@ -12,8 +12,9 @@
 # Either way of 1, the random factor of each pause: nodes must not stay in step.
 PAUSE_SPREAD = 0.2
 # Share of the slow-start budget that the nodes use in the mean. Their schedules are independent, so the sum
-# varies by its square root, and nodes that were not told of the outage call as usual beside them.
-BUDGET_SHARE = 0.9
+# varies by its square root (at 30 calls, two of those and two calls are left), and nodes that were not told
+# of the outage call as usual beside them.
+BUDGET_SHARE = 0.86
 
 
 class RecoveryRamp:
@@ -75,12 +76,18 @@
             return self.cold_capacity_share
         return self.cold_capacity_share + self.growth_per_ms * (now - endpoint.warming_since)
 
+    @staticmethod
+    def _demand_rate(endpoint: Endpoint) -> float:
+        """Events per ms of its destination at the limit: those that one route rejects go to the next."""
+        limiters = {other.rate_limiter for other in endpoint.destination.endpoints} | {endpoint.rate_limiter}
+        return sum(limiter.listed_rate or 0.0 for limiter in limiters)
+
     def _warm_pause_ms(self, endpoint: Endpoint, now: float) -> float:
         """Ms between two calls of this node, were the endpoint warm."""
         limiter = endpoint.rate_limiter
         if limiter.listed_rate:
             span_ms = max(limiter.sharing.busy_span_ms, now - limiter.outage_began_at)
-            even_share = limiter.share_among_nodes(span_ms)
+            even_share = limiter.share_among_nodes(span_ms, self._demand_rate(endpoint))
         else:
             even_share = limiter.rate_before_outage or MIN_RATE_PER_MS
         rate = limiter.rate_before_outage + limiter.listed_rate_confidence * even_share
