Rejected connections alone are an outage after 1.5 s; no doubling pause

Now connections alone have to be rejected for 1.5 s with nothing acked at the destination, at the pause as it was, and an ack after two of them in a row begins a warm-up.

--- a/swiftthread/routing/endpoint.py
+++ b/swiftthread/routing/endpoint.py
@@ -55,6 +55,8 @@
 
     consecutive_full_tables: int = 0
     """Calls in a row that were rejected with their connection."""
+    tables_full_since: float = -math.inf
+    """When the first of them was."""
     table_full_at: float = -math.inf
     """When it last looked short of room for connections."""
     retry_at: float = -math.inf
--- a/swiftthread/routing/health.py
+++ b/swiftthread/routing/health.py
@@ -32,11 +32,8 @@
 MIN_TRIAL_PAUSE_MS = 300.0
 # Bounds of the random factor of the pause after a full connection table.
 FULL_TABLE_PAUSE_FACTORS = (0.5, 1.5)
-# Factor by which that pause grows with each such answer in a row, up to the pause between trials.
-FULL_TABLE_BACKOFF = 2.0
-MAX_BACKOFF_DOUBLINGS = 10
-# Such answers in a row that are held to be an outage where none was acked for `LONE_FAILURE_MS` before.
-MAX_FULL_TABLES = 2
+# ms of such answers alone, at the destination, that are held to be an outage: longer than a crowd lasts.
+FULL_TABLE_OUTAGE_MS = 1500.0
 # Share of the time for a connect: one that fails sooner was refused, not unanswered.
 PROMPT_CONNECT_SHARE = 0.5
 # ms for which a stream type is not sent to an endpoint that failed it; some latency objectives.
@@ -115,25 +112,29 @@
         Hurts where a table stays full for seconds under ordinary load.
         """
         endpoint.table_full_at = now
-        trial_pause_ms = self.recovery.mean_trial_pause_ms(endpoint, now)
-        backoff = FULL_TABLE_BACKOFF ** min(endpoint.consecutive_full_tables, MAX_BACKOFF_DOUBLINGS)
-        pause_ms = min(MIN_TRIAL_PAUSE_MS * backoff, max(MIN_TRIAL_PAUSE_MS, trial_pause_ms))
-        endpoint.retry_at = now + pause_ms * self.jitter.uniform(*FULL_TABLE_PAUSE_FACTORS)
+        endpoint.retry_at = now + MIN_TRIAL_PAUSE_MS * self.jitter.uniform(*FULL_TABLE_PAUSE_FACTORS)
+        if not endpoint.consecutive_full_tables:
+            endpoint.tables_full_since = now
         endpoint.consecutive_full_tables += 1
-        if endpoint.is_down or endpoint.consecutive_full_tables < MAX_FULL_TABLES:
-            return
         # An endpoint that is out may reject nothing but connections, and nodes that come again and again at a
         # fixed pause are all there when it returns.
-        if self._unacked_ms(endpoint, now) > LONE_FAILURE_MS:
+        rejected_ms = now - endpoint.tables_full_since
+        if not endpoint.is_down and min(rejected_ms, self._unacked_ms(endpoint, now)) > FULL_TABLE_OUTAGE_MS:
             endpoint.consecutive_failures = max(endpoint.consecutive_failures, 1)
             self._mark_down(endpoint, SendOutcome.CONNECTION_LIMIT, now)
 
+    def _rejected_connections_long(self, endpoint: Endpoint, now: float) -> bool:
+        """Whether two connections or more were rejected in a row, and nothing acked for long."""
+        is_row = endpoint.consecutive_full_tables >= MAX_UNACKED_FAILURES
+        return is_row and self._has_destination_long_acked_nothing(endpoint, now)
+
     def _record_ack(self, endpoint: Endpoint, now: float, latency_ms: float) -> None:
+        may_return = endpoint.is_down or self._rejected_connections_long(endpoint, now)
         endpoint.acked_at = now
         endpoint.consecutive_failures = 0
         endpoint.consecutive_full_tables = 0
         endpoint.failure_ratio = endpoint.failure_ratio * (1 - FAILURE_SMOOTHING)
-        if endpoint.is_down:
+        if may_return:
             self._begin_warm_up(endpoint, now)
         endpoint.rate_limiter.record_ack(now, latency_ms, self._is_slow_everywhere)
 
