Three failures at one endpoint hold it to be down whatever its destination acks

Found on reading the change again: with two failures in a row _fails_in_a_row returned whether its destination had long acked nothing, and so no longer reached the rule of three in a row for an endpoint that had acked within a second or has siblings that ack. Both rules count again.

--- a/swiftthread/routing/health.py
+++ b/swiftthread/routing/health.py
@@ -202,8 +202,9 @@
             other.consecutive_failures + other.consecutive_full_tables
             for other in endpoint.destination.endpoints
         )
-        if outcome != SendOutcome.RESET and failures >= MAX_UNACKED_FAILURES:
-            return self._has_destination_long_acked_nothing(endpoint, now)
+        is_row = outcome != SendOutcome.RESET and failures >= MAX_UNACKED_FAILURES
+        if is_row and self._has_destination_long_acked_nothing(endpoint, now):
+            return True
         return (
             outcome != SendOutcome.RATE_LIMITED and endpoint.consecutive_failures >= MAX_CONSECUTIVE_FAILURES
         )
--- a/tests/routing/test_outages.py
+++ b/tests/routing/test_outages.py
@@ -61,6 +61,25 @@
     run.run_until(20000.0).assert_matches_trace("warm_up_time_out")
 
 
+def test_an_endpoint_that_fails_three_times_is_out_while_another_of_its_destination_acks():
+    """Two failures tell of an outage where nothing is acked; three at one endpoint do whatever others ack."""
+
+    def answers(ticket, endpoint, now):
+        is_out = endpoint == 1 and now > 500.0
+        return (10.0, SendOutcome.UNREACHABLE) if is_out else (20.0, SendOutcome.ACKED)
+
+    endpoints = [(1, 0, 0, 0, 20.0, True), (2, 0, 0, 0, 20.0, True)]
+    run = SimulatedNode(endpoints, answers, separate_routes_by_kind=[True])
+    for ticket in range(1, 60):
+        run.schedule(50.0 * ticket, run.submit, ticket)
+    for moment in range(0, 3000, 10):
+        run.run_until(float(moment))
+        if len([line for line in run.lines if "unreachable" in line]) >= 3:
+            break
+    assert run.now - run.session.router.endpoints[1].acked_at < 1000.0
+    assert run.session.router.endpoints[1].is_down and not run.session.router.endpoints[2].is_down
+
+
 def test_resets_here_and_there_are_no_outage():
     """A fifth of all calls were reset everywhere; each lone one began an outage and a ramp of ten seconds."""
 
