The log's clock and the router's changes of state load no pathlib and no dataclasses

Cause: storage/log_clock.py was the first to import pathlib (modules 307 -> 315, 27.0 -> 28.3 MB at start). It opens its files itself now, and three small classes are named tuples.

--- a/swiftthread/routing/observer.py
+++ b/swiftthread/routing/observer.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 if TYPE_CHECKING:
     from swiftthread.routing.messages import SendOutcome
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointDown:
+class EndpointDown(NamedTuple):
     """An endpoint is held to be down from now on. Spans in ms."""
 
     endpoint_id: str | int
@@ -24,8 +22,7 @@
     """Until the next trial may go."""
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointRecovering:
+class EndpointRecovering(NamedTuple):
     """An endpoint acked a call and warms up from now on. Spans in ms."""
 
     endpoint_id: str | int
--- a/swiftthread/storage/log_clock.py
+++ b/swiftthread/storage/log_clock.py
@@ -10,8 +10,7 @@
 
 import json
 import os
-from dataclasses import dataclass
-from pathlib import Path
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -19,7 +18,7 @@
 
 FILE_NAME = "clock"
 NEW_FILE_NAME = "clock.new"
-BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
+BOOT_ID_PATH = "/proc/sys/kernel/random/boot_id"
 # What reading a stored epoch can raise.
 UNREADABLE = (OSError, ValueError, TypeError, KeyError, AttributeError)
 
@@ -27,13 +26,13 @@
 def read_boot_id() -> str:
     """The kernel's id of this boot; empty where it does not tell."""
     try:
-        return BOOT_ID_PATH.read_text(encoding="ascii").strip()
+        with open(BOOT_ID_PATH, encoding="ascii") as source:
+            return source.read().strip()
     except (OSError, ValueError):
         return ""
 
 
-@dataclass(frozen=True, slots=True)
-class Epoch:
+class Epoch(NamedTuple):
     """Where the clock's zero lies on the monotonic clock of a boot."""
 
     boot_id: str
@@ -102,7 +101,8 @@
             "stored_at_monotonic_ms": self._monotonic(),
         }
         try:
-            Path(self._new_path).write_text(json.dumps(epoch), encoding="ascii")
+            with open(self._new_path, "w", encoding="ascii") as target:
+                json.dump(epoch, target)
             os.replace(self._new_path, self._path)
         except OSError as error:
             logger.warning(
@@ -114,7 +114,8 @@
     def _read(self) -> Epoch | None:
         """The stored epoch; None when there is none that can be read."""
         try:
-            fields = json.loads(Path(self._path).read_text(encoding="ascii"))
+            with open(self._path, encoding="ascii") as source:
+                fields = json.load(source)
             return Epoch(
                 str(fields["boot_id"]), float(fields["offset_ms"]), float(fields["stored_at_monotonic_ms"])
             )
