Failing test: random recoveries after any kind of outage exceed the warm-up budget

The model of a fleet that calls a recovering destination gets rejected connections for all calls, clumps of events, calls of several events, and scenarios drawn at random: 3 to 200 nodes, limits of 1 to 20 calls/s, loads to three times the limit, warm-ups of 5 to 25 s.

--- a/tests/routing/test_slow_start_budget.py
+++ b/tests/routing/test_slow_start_budget.py
@@ -17,6 +17,7 @@
 
 import pytest
 from support.cold_destination import OVERLOAD_MULTIPLE, Outage, RecoveryScenario, simulate_recovery
+from support.recovery_study import run_random_scenarios
 
 CONFIGURATIONS = {
     "three routes of two calls per second": RecoveryScenario(route_count=3, limit_per_s=2.0),
@@ -48,6 +49,8 @@
     for routes in (1, 3)
 ]
 RECOVERY_COUNT = 24  # of each configuration, one per seed
+RANDOM_SCENARIO_COUNT = 50  # of each kind of outage, one per seed; of two routes each on average
+PROCESS_COUNT = 4
 
 
 def test_nodes_that_noticed_the_outage_stay_within_the_warm_up_budget():
@@ -86,5 +89,19 @@
     scenario = CONFIGURATIONS[name]
     routes = [route for seed in range(RECOVERY_COUNT) for route in simulate_recovery(scenario, seed)]
     allowed = sum(scenario.warm_up_budget(end) for end in (2000.0, 4000.0, 6000.0, 8000.0))
-    used = sum(route.calls_within(0.0, 8000.0) for route in routes) / len(routes)
+    used = sum(route.load_within(0.0, 8000.0) for route in routes) / len(routes)
     assert used > allowed / OVERLOAD_MULTIPLE / 2
+
+
+def test_nodes_told_by_any_kind_of_failure_stay_within_the_warm_up_budget():
+    """Random limits, loads up to three times the limit, clumps of events, long warm-ups, 3 to 200 nodes.
+
+    Nodes that had only had their connections rejected went on at their usual rate after the recovery.
+    """
+    overloads = {
+        (outage.name, result.seed): result.overloads
+        for outage in Outage
+        for result in run_random_scenarios(outage, range(RANDOM_SCENARIO_COUNT), PROCESS_COUNT)
+        if result.overloads
+    }
+    assert overloads == {}
--- a/tests/support/cold_destination.py
+++ b/tests/support/cold_destination.py
@@ -1,6 +1,7 @@
 """A destination that a fleet calls: its outage, its warm-up and the check of the warm-up budget."""
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 from enum import StrEnum
 from random import Random
@@ -26,6 +27,8 @@
 MIN_AWARE_SHARE = 2 / 3
 OVERLOAD_MULTIPLE = 2.0
 WINDOW_MS = 2000.0
+EXTRA_EVENT_LOAD = 0.05  # load of each event of a call beyond the first, in calls with a single event
+CLUMP_DURATION_MS = 300.0
 
 
 class Outage(StrEnum):
@@ -37,6 +40,7 @@
     FAILS_MOST_CALLS = "fails most calls"
     REJECTS_ALL_CALLS = "rejects all calls"
     REJECTS_CALLS_AND_CONNECTIONS = "rejects all calls, most of them by rejecting the connection"
+    REJECTS_ALL_CONNECTIONS = "rejects all connections"
     REJECTS_WITH_RETRY_AFTER = "rejects all calls, some with a Retry-After"
 
 
@@ -59,6 +63,11 @@
     """Events per second, as a share of the total rate limit of all routes."""
     restarted_share: float = 0.0
     """Share of the nodes that are killed and restarted at a random time during the outage."""
+    batch_size: int = 1
+    """Maximum number of events in one call."""
+    clump_s: float = 0.0
+    """Size of a clump of events that arrives after the recovery: what the limits allow in this time."""
+    clump_after_recovery_ms: float = 100.0
 
     @property
     def outage_ends_at(self):
@@ -76,10 +85,12 @@
 
 @dataclass(frozen=True)
 class Arrival:
-    """A call or health check, and how long after the recovery it arrived."""
+    """A call, an event that joined one or a health check, and how long after the recovery it arrived."""
 
     after_recovery_ms: float
     node: int
+    load: float = 1.0
+    """The load in calls with a single event."""
 
 
 @dataclass(frozen=True)
@@ -91,11 +102,20 @@
     """
 
     end_ms: float
-    calls: int
-    aware_calls: int
+    load: float
+    aware_load: float
     budget: float
 
 
+@dataclass
+class SharedCall:
+    """A call that further events of its node may join, and its response."""
+
+    received_at: float
+    remaining_capacity: int
+    response: tuple | None
+
+
 @dataclass
 class RecoveringRoute:
     """A route that accepts calls up to its rate limit, has an outage and recovers with reduced capacity.
@@ -107,16 +127,32 @@
     rng: Random
     aware_nodes: set[int] = field(default_factory=set)
     arrivals: list[Arrival] = field(default_factory=list)
+    shared_calls: dict[int, SharedCall] = field(default_factory=dict)
+    """The last call of each node."""
     next_slot_at: float = -math.inf
 
     def close(self, node):
         """Close the idle connection of a node. This does nothing: the number of connections is unlimited."""
 
     def respond(self, node, now):
+        shared = self.shared_calls.get(node)
+        if shared and shared.received_at == now and shared.remaining_capacity:
+            shared.remaining_capacity -= 1
+            self._record_arrival(node, now, EXTRA_EVENT_LOAD)
+            return shared.response
+        self._record_arrival(node, now, 1.0)
+        response = self._respond_to_call(node, now)
+        self.shared_calls[node] = SharedCall(now, self.scenario.batch_size - 1, response)
+        return response
+
+    def _record_arrival(self, node, now, load):
+        after_recovery_ms = now - self.scenario.outage_ends_at
+        if after_recovery_ms >= 0:
+            self.arrivals.append(Arrival(after_recovery_ms, node, load))
+
+    def _respond_to_call(self, node, now):
         if self.scenario.outage_begins_at <= now < self.scenario.outage_ends_at:
             return self._respond_in_outage(node)
-        if now >= self.scenario.outage_ends_at:
-            self.arrivals.append(Arrival(now - self.scenario.outage_ends_at, node))
         capacity_share = self._capacity_share(now)
         interval_ms = 1000.0 / self.scenario.limit_per_s / capacity_share
         slot_at = max(now, self.next_slot_at)
@@ -138,6 +174,8 @@
                 return CONNECT_TIMEOUT_MS, SendOutcome.UNREACHABLE
             case Outage.FAILS_MOST_CALLS:
                 return IMMEDIATE_RESPONSE_MS, SendOutcome.FAILED
+            case Outage.REJECTS_ALL_CONNECTIONS:
+                return IMMEDIATE_RESPONSE_MS, SendOutcome.CONNECTION_LIMIT
             case Outage.REJECTS_CALLS_AND_CONNECTIONS if self.rng.random() < REJECTED_CONNECTION_SHARE:
                 return IMMEDIATE_RESPONSE_MS, SendOutcome.CONNECTION_LIMIT
             case Outage.REJECTS_WITH_RETRY_AFTER if self.rng.random() < RETRY_AFTER_SHARE:
@@ -162,25 +200,26 @@
 
     def overloads(self):
         """Yield the overloads during the warm-up."""
-        window = []
+        window = deque()
         for arrival in self.arrivals:
-            window = [
-                earlier
-                for earlier in window
-                if earlier.after_recovery_ms >= arrival.after_recovery_ms - WINDOW_MS
-            ] + [arrival]
-            aware_calls = sum(call.node in self.aware_nodes for call in window)
+            if arrival.after_recovery_ms >= self.scenario.warm_up_ms:
+                return
+            window.append(arrival)
+            while window[0].after_recovery_ms < arrival.after_recovery_ms - WINDOW_MS:
+                window.popleft()
+            load = sum(call.load for call in window)
             budget = self.scenario.warm_up_budget(arrival.after_recovery_ms)
-            if (
-                arrival.after_recovery_ms < self.scenario.warm_up_ms
-                and len(window) > overload_threshold(budget)
-                and aware_calls > MIN_AWARE_SHARE * len(window)
-            ):
-                yield Overload(arrival.after_recovery_ms, len(window), aware_calls, budget)
-
-    def calls_within(self, begin_ms, end_ms):
-        """Return how many calls arrived between `begin_ms` and `end_ms` after the recovery."""
-        return sum(begin_ms <= arrival.after_recovery_ms < end_ms for arrival in self.arrivals)
+            if load <= overload_threshold(budget):
+                continue
+            aware_load = sum(call.load for call in window if call.node in self.aware_nodes)
+            if aware_load > MIN_AWARE_SHARE * load:
+                yield Overload(arrival.after_recovery_ms, load, aware_load, budget)
+
+    def load_within(self, begin_ms, end_ms):
+        """Return the load, in calls, that arrived between `begin_ms` and `end_ms` after the recovery."""
+        return sum(
+            arrival.load for arrival in self.arrivals if begin_ms <= arrival.after_recovery_ms < end_ms
+        )
 
 
 STREAM_TYPES = [
@@ -209,6 +248,7 @@
         cold_capacity_share=scenario.cold_capacity_share,
         warm_up_ms=scenario.warm_up_ms,
         separate_routes_by_kind=[True],
+        batch_size_by_kind=[scenario.batch_size],
         keepalive_ms=5000.0,
         connect_timeout_ms=CONNECT_TIMEOUT_MS,
         max_calls_in_flight=13,
@@ -219,12 +259,7 @@
         node.session.router.random_uniform = Random(f"{seed} {node.number}").uniform
     load_shares = [rng.lognormvariate(0.0, 0.7) for _ in fleet.nodes]
     end = scenario.outage_ends_at + scenario.warm_up_ms
-    ticket, submitted_at = 0, 0.0
-    while submitted_at < end:
-        ticket += 1
-        submitted_at += rng.expovariate(
-            scenario.load_share * scenario.limit_per_s * scenario.route_count / 1000.0
-        )
+    for ticket, submitted_at in enumerate(_submission_times(scenario, rng, end), 1):
         node = rng.choices(fleet.nodes, load_shares)[0]
         node.schedule(submitted_at, node.submit, ticket, 0, rng.randrange(len(STREAM_TYPES)))
     for node in rng.sample(fleet.nodes, int(scenario.restarted_share * scenario.node_count)):
@@ -232,3 +267,15 @@
         node.schedule(restarts_at, node.restart, entries)
     fleet.run_until(end)
     return list(routes.values())
+
+
+def _submission_times(scenario, rng, end):
+    """Yield when events are submitted: the steady load, and the clump after the recovery."""
+    limit_per_ms = scenario.limit_per_s * scenario.route_count / 1000.0
+    submitted_at = 0.0
+    while submitted_at < end:
+        submitted_at += rng.expovariate(scenario.load_share * limit_per_ms)
+        yield submitted_at
+    clump_begins_at = scenario.outage_ends_at + scenario.clump_after_recovery_ms
+    for _ in range(round(1000.0 * scenario.clump_s * limit_per_ms)):
+        yield clump_begins_at + rng.uniform(0.0, CLUMP_DURATION_MS)
