--- a/swiftthread/lab/emulator/calls.py
+++ b/swiftthread/lab/emulator/calls.py
@@ -31,6 +31,7 @@
     CallOutcome.ERROR: 500,
     CallOutcome.RATE_LIMITED: 429,
     CallOutcome.UNAVAILABLE: 503,
+    CallOutcome.CONNECTION_REJECTED: 503,
 }
 
 
@@ -159,12 +160,16 @@
             connection.transport.close()
         else:
             connection.write_response(_encode_call_response(response, pending))
+            if response.outcome == CallOutcome.CONNECTION_REJECTED:
+                connection.transport.close()
 
 
 def _encode_call_response(response: CallResponse, pending: PendingCall) -> bytes:
     headers = []
     if response.retry_after_ms:
         headers.append(("Retry-After", f"{response.retry_after_ms / 1000.0:.3f}"))
+    if response.outcome == CallOutcome.CONNECTION_REJECTED:
+        headers.append(("Connection", "close"))
     body = b""
     if response.outcome == CallOutcome.DONE and pending.is_batch:
         states = [{"id": event_id, "state": response.outcome} for event_id in pending.event_ids]
--- a/swiftthread/lab/faults.py
+++ b/swiftthread/lab/faults.py
@@ -23,6 +23,8 @@
     """A share of the calls is rejected with 429."""
     DESTINATION_UNAVAILABLE = "shut"
     """All calls to the destination are rejected with 429 for the duration of the fault."""
+    CONNECTIONS_REJECTED = "shut_connections"
+    """All calls to the destination get a 503 that closes their connection, for the duration of the fault."""
     SLOW_DOWN = "slow"
     """Service times are multiplied by a factor."""
     CHANGE_RATE_LIMIT = "limit"
@@ -48,7 +50,9 @@
 SOCKET_FAULTS = frozenset({FaultKind.RESET_BEFORE_REQUEST, FaultKind.SLOW_READ, FaultKind.SLOW_WRITE})
 """Faults that affect only connections and are not part of the receiver model."""
 
-SELF_EXPIRING_FAULTS = frozenset({FaultKind.DESTINATION_UNAVAILABLE, FaultKind.PAUSE})
+SELF_EXPIRING_FAULTS = frozenset(
+    {FaultKind.DESTINATION_UNAVAILABLE, FaultKind.CONNECTIONS_REJECTED, FaultKind.PAUSE}
+)
 """Faults that expire after their duration without a `heal`."""
 
 
--- a/swiftthread/lab/incident.py
+++ b/swiftthread/lab/incident.py
@@ -28,6 +28,7 @@
     WITHHOLD_RESPONSES = "swallow"
     REJECT = "full"
     DESTINATION_UNAVAILABLE = "shut"
+    CONNECTIONS_REJECTED = "shut_connections"
     SLOW_DOWN = "slow"
     CHANGE_RATE_LIMIT = "limit"
     PAUSE = "pause"
--- a/swiftthread/lab/incident_file.py
+++ b/swiftthread/lab/incident_file.py
@@ -27,6 +27,7 @@
 STEPS_WITH_DURATION = frozenset(
     {
         EndpointFault.DESTINATION_UNAVAILABLE,
+        EndpointFault.CONNECTIONS_REJECTED,
         EndpointFault.PAUSE,
         NodeFault.FREEZE,
         LoadChange.BURST,
--- a/swiftthread/lab/outcomes.py
+++ b/swiftthread/lab/outcomes.py
@@ -13,6 +13,8 @@
     ERROR = "error"
     RATE_LIMITED = "full"
     UNAVAILABLE = "shut"
+    CONNECTION_REJECTED = "conn"
+    """The call was rejected together with its connection, which the response closes."""
     RESET = "reset"
     """The connection was reset."""
     TRUNCATED = "half"
--- a/swiftthread/lab/receiver_model.py
+++ b/swiftthread/lab/receiver_model.py
@@ -186,6 +186,8 @@
             return ImmediateResponse(CallOutcome.UNAVAILABLE)
         destination = endpoint.destination
         if now < destination.unavailable_until:
+            if destination.unavailability_rejects_connections:
+                return ImmediateResponse(CallOutcome.CONNECTION_REJECTED)
             remaining_ms = destination.unavailable_until - now
             retry_after_ms = remaining_ms if destination.unavailability_has_retry_after else 0.0
             return ImmediateResponse(CallOutcome.RATE_LIMITED, retry_after_ms)
@@ -284,6 +286,7 @@
             )
         endpoint.destination.unavailable_until = now + fault.duration_ms
         endpoint.destination.unavailability_has_retry_after = fault.sends_retry_after
+        endpoint.destination.unavailability_rejects_connections = fault.kind == FaultKind.CONNECTIONS_REJECTED
 
     def _slow_down(self, now: float, endpoint: Endpoint, fault: Fault) -> None:
         endpoint.service_time_factor = fault.factor
@@ -338,6 +341,7 @@
         FaultKind.WITHHOLD_RESPONSES: _fail_calls,
         FaultKind.REJECT: _reject_calls,
         FaultKind.DESTINATION_UNAVAILABLE: _make_destination_unavailable,
+        FaultKind.CONNECTIONS_REJECTED: _make_destination_unavailable,
         FaultKind.SLOW_DOWN: _slow_down,
         FaultKind.CHANGE_RATE_LIMIT: _change_rate_limit,
         FaultKind.PAUSE: _pause,
--- a/swiftthread/lab/receivers.py
+++ b/swiftthread/lab/receivers.py
@@ -60,6 +60,7 @@
         is_overloaded: Whether overload crashed it and it has not been healed since.
         unavailable_until: The time until which it rejects all calls.
         unavailability_has_retry_after: Whether these rejections have a Retry-After.
+        unavailability_rejects_connections: Whether these rejections close the connection.
     """
 
     number: int
@@ -74,6 +75,7 @@
     is_overloaded: bool = field(default=False, init=False)
     unavailable_until: float = field(default=-math.inf, init=False)
     unavailability_has_retry_after: bool = field(default=False, init=False)
+    unavailability_rejects_connections: bool = field(default=False, init=False)
     _recent_loads: deque[LoadSample] = field(default_factory=deque, init=False)
 
     def capacity_share(self, now: float) -> float:
--- a/swiftthread/lab/referee/evidence.py
+++ b/swiftthread/lab/referee/evidence.py
@@ -15,6 +15,10 @@
 EXTRA_EVENT_LOAD = 0.05
 
 
+REJECTIONS = (CallOutcome.RATE_LIMITED, CallOutcome.UNAVAILABLE, CallOutcome.CONNECTION_REJECTED)
+"""Outcomes of calls that the endpoint rejected before it processed them."""
+
+
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One delivery attempt: a call to an endpoint. All times are in ms.
@@ -61,7 +65,7 @@
 
     def was_rejected(self) -> bool:
         """Return whether the endpoint rejected the call before processing it, so that it never ran."""
-        return self.outcome in (CallOutcome.RATE_LIMITED, CallOutcome.UNAVAILABLE)
+        return self.outcome in REJECTIONS
 
     def is_acked(self) -> bool:
         """Return whether the endpoint acknowledged the call."""
--- a/swiftthread/lab/report/run_plots.py
+++ b/swiftthread/lab/report/run_plots.py
@@ -20,6 +20,7 @@
     CallOutcome.ERROR: "#c0392b",
     CallOutcome.RATE_LIMITED: "#e09f3e",
     CallOutcome.UNAVAILABLE: "#b5651d",
+    CallOutcome.CONNECTION_REJECTED: "#7a4419",
     CallOutcome.RESET: "#8e44ad",
     CallOutcome.TRUNCATED: "#c39bd3",
     referee.UNANSWERED_CALL: "#7f8c8d",
--- a/tests/lab/test_run_records.py
+++ b/tests/lab/test_run_records.py
@@ -28,6 +28,7 @@
         (CallOutcome.ERROR, "error"),
         (CallOutcome.RATE_LIMITED, "full"),
         (CallOutcome.UNAVAILABLE, "shut"),
+        (CallOutcome.CONNECTION_REJECTED, "conn"),
         (CallOutcome.RESET, "reset"),
         (CallOutcome.TRUNCATED, "half"),
         (CallOutcome.NO_RESPONSE, "nothing"),
