Log which failures told a node of an outage, and in which state it made its calls

Each line on an endpoint that is down or up again now names its last outcomes since the last ack, and the counts every ten seconds say how many calls fell in each state. No decision depends on it.

--- a/swiftthread/routing/endpoint.py
+++ b/swiftthread/routing/endpoint.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from swiftthread.routing.events import Destination
+from swiftthread.routing.messages import SendOutcome
 from swiftthread.routing.settings import StreamType
 
 if TYPE_CHECKING:
@@ -45,6 +46,8 @@
     consecutive_failures: int = 0
     failing_since: float = 0.0
     failed_at: float = -math.inf
+    unacked_outcomes: tuple[SendOutcome, ...] = ()
+    """The last outcomes since the last ack, for logs."""
     ejected_until_by_stream_type: dict[StreamType, float] = field(default_factory=dict)
     """One entry per stream type; an ack deletes it."""
 
--- a/swiftthread/routing/health.py
+++ b/swiftthread/routing/health.py
@@ -41,6 +41,8 @@
 # Events of a stream type are not sent to an endpoint for this long after one of them failed there; it covers
 # several latency objectives.
 STREAM_TYPE_EJECTION_MS = 5000.0
+# Number of outcomes that are reported when an endpoint goes down or recovers.
+MAX_REPORTED_OUTCOMES = 4
 # Minimum number of limiters with a known latency from which a widespread rise of latency can be detected.
 MIN_COMPARED_LIMITERS = 3
 
@@ -105,6 +107,8 @@
         if outcome in UNRELATED_TO_HEALTH:
             return
         endpoint.last_outcome_at = now
+        if outcome != SendOutcome.ACKED:
+            endpoint.unacked_outcomes = (*endpoint.unacked_outcomes, outcome)[-MAX_REPORTED_OUTCOMES:]
         if outcome == SendOutcome.CONNECTION_LIMIT:
             self._record_rejected_connection(endpoint, now)
         elif outcome == SendOutcome.ACKED:
@@ -153,6 +157,7 @@
         endpoint.failure_ratio = endpoint.failure_ratio * (1 - FAILURE_SMOOTHING)
         if may_be_recovering:
             self._begin_warm_up(endpoint, now)
+        endpoint.unacked_outcomes = ()
         endpoint.rate_limiter.record_ack(now, latency_ms, self._is_latency_rise_widespread)
 
     def _begin_warm_up(self, endpoint: Endpoint, now: float) -> None:
@@ -176,6 +181,8 @@
             EndpointRecovering(
                 endpoint.endpoint_id,
                 endpoint.destination.number,
+                endpoint.unacked_outcomes,
+                time_since_failure_ms=now - endpoint.failed_at,
                 warm_up_elapsed_ms=now - endpoint.warm_up_began_at,
                 time_to_next_call_ms=limiter.next_recovery_slot_at - now,
             )
@@ -295,14 +302,14 @@
         self.down_endpoints[endpoint] = True
         self._schedule_first_trial(endpoint, now)
         for down_endpoint in newly_down:
-            self._report_down(down_endpoint, outcome if down_endpoint is endpoint else None, now)
+            self._report_down(down_endpoint, now)
 
-    def _report_down(self, endpoint: Endpoint, outcome: SendOutcome | None, now: float) -> None:
+    def _report_down(self, endpoint: Endpoint, now: float) -> None:
         self.observer.endpoint_down(
             EndpointDown(
                 endpoint.endpoint_id,
                 endpoint.destination.number,
-                last_outcome=outcome,
+                endpoint.unacked_outcomes,
                 consecutive_failures=endpoint.consecutive_failures,
                 time_since_ack_ms=now - endpoint.acked_at,
                 time_to_next_trial_ms=endpoint.rate_limiter.next_recovery_slot_at - now,
--- a/swiftthread/routing/router.py
+++ b/swiftthread/routing/router.py
@@ -36,7 +36,7 @@
     Send,
     SendOutcome,
 )
-from swiftthread.routing.observer import NullObserver, RoutingObserver
+from swiftthread.routing.observer import CallState, NullObserver, RoutingObserver
 from swiftthread.routing.ordering import OrderingQueues
 from swiftthread.routing.rate_limiter import CALL_COST, SHARED_EVENT_COST
 from swiftthread.routing.recovery import RecoveryPacing
@@ -68,9 +68,8 @@
         self.retry_rules = RetryRules(settings)
         self.timeouts = AttemptTimeouts(settings, self.recovery)
         self.slots = CallSlots(settings.max_calls_in_flight)
-        self.health = HealthTracker(
-            settings, self.endpoint_list, self.recovery, self.jitter, observer or NullObserver()
-        )
+        self.observer: RoutingObserver = observer or NullObserver()
+        self.health = HealthTracker(settings, self.endpoint_list, self.recovery, self.jitter, self.observer)
         self.health_checks = HealthChecks(settings, self.health, self.recovery)
         self.idle_connections = IdleConnections(settings)
         self.selector = EndpointSelector(
@@ -317,7 +316,10 @@
     def endpoints_due_for_health_check(self, now: float) -> list[Endpoint]:
         """Return the endpoints to send a health check to now, each of which counts as being checked."""
         # The endpoints are unresponsive, have pending events, and are checked at the pace of trials.
-        return self.health_checks.start_due_checks(now)
+        due = self.health_checks.start_due_checks(now)
+        for _ in due:
+            self.observer.call_started(CallState.HEALTH_CHECK)
+        return due
 
     def record_health_check(
         self,
@@ -374,6 +376,7 @@
         return Send(endpoint, self.timeouts.timeout_ms(event, endpoint, now))
 
     def _start_call(self, event: Event, endpoint: Endpoint, now: float) -> Call:
+        self.observer.call_started(self._call_state(endpoint, now))
         call = Call(endpoint)
         is_exclusive = endpoint.is_down or not self.timeouts.may_share_call(event, endpoint, now)
         positions_left = 0 if is_exclusive else endpoint.batch_size - 1
@@ -381,6 +384,13 @@
         self.slots.acquire(endpoint, now)
         return call
 
+    def _call_state(self, endpoint: Endpoint, now: float) -> CallState:
+        if endpoint.is_down:
+            return CallState.TRIAL
+        if self.recovery.is_warming_up(endpoint, now):
+            return CallState.WARM_UP
+        return CallState.UNACKED if endpoint.unacked_outcomes else CallState.NORMAL
+
     def _resolve_in_call(self, call: Call, outcome: SendOutcome) -> None:
         # Resolve one event of a call; the call finishes with the last of its events.
         call.unresolved_count -= 1
--- a/swiftthread/service/activity.py
+++ b/swiftthread/service/activity.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from swiftthread.routing.messages import SendOutcome
-from swiftthread.routing.observer import EndpointDown, EndpointRecovering
+from swiftthread.routing.observer import CallState, EndpointDown, EndpointRecovering
 from swiftthread.service.log_filter import STATE_CHANGE
 from swiftthread.storage.decision import FinalOutcome
 
@@ -39,6 +39,7 @@
     def __init__(self) -> None:
         self.submissions: Counter[AdmissionOutcome] = Counter()
         self.attempts: Counter[SendOutcome] = Counter()
+        self.call_states: Counter[CallState] = Counter()
         self.final_outcomes: Counter[FinalOutcome] = Counter()
         self.acked_count = 0
         self.down_count = 0
@@ -50,11 +51,11 @@
         unacked = f"no call acked for {change.time_since_ack_ms / 1000.0:.1f} s"
         logger.bind(**STATE_CHANGE).info(
             "endpoint {} of destination {} was marked down after {} consecutive failures "
-            "(last outcome: {}), {}; next trial in {:.1f} s",
+            "(last outcomes: {}), {}; next trial in {:.1f} s",
             change.endpoint_id,
             change.destination_number,
             change.consecutive_failures,
-            change.last_outcome or "none, other endpoints of the destination failed",
+            _outcomes_text(change.unacked_outcomes),
             unacked if change.time_since_ack_ms < math.inf else "no call acked yet",
             change.time_to_next_trial_ms / 1000.0,
         )
@@ -62,14 +63,20 @@
     def endpoint_recovering(self, change: EndpointRecovering) -> None:
         """Log that an endpoint is up again and warms up."""
         logger.bind(**STATE_CHANGE).info(
-            "endpoint {} of destination {} is up again, with a warm-up assumed to have begun {:.1f} s ago; "
-            "next call in {:.1f} s",
+            "endpoint {} of destination {} is up again (outcomes before: {}; last failure {:.1f} s ago), "
+            "with a warm-up assumed to have begun {:.1f} s ago; next call in {:.1f} s",
             change.endpoint_id,
             change.destination_number,
+            _outcomes_text(change.unacked_outcomes),
+            change.time_since_failure_ms / 1000.0,
             change.warm_up_elapsed_ms / 1000.0,
             change.time_to_next_call_ms / 1000.0,
         )
 
+    def call_started(self, state: CallState) -> None:
+        """Count a call by the state in which the node holds the endpoint."""
+        self.call_states[state] += 1
+
     async def report(self) -> None:
         """Log the counts at regular intervals until cancelled."""
         while True:
@@ -80,19 +87,28 @@
         """Log the counts since the previous report, unless all are 0, and reset them."""
         if self.submissions or self.attempts or self.final_outcomes or self.acked_count:
             logger.bind(**STATE_CHANGE).info(
-                "submissions: {}; attempts: {}; events: {} acked, {}; endpoints marked down: {}",
+                "submissions: {}; attempts: {}; events: {} acked, {}; endpoints marked down: {}; "
+                "calls by state: {}",
                 _counts_text(self.submissions),
                 _counts_text(self.attempts),
                 self.acked_count,
                 _counts_text(self.final_outcomes),
                 self.down_count,
+                _counts_text(self.call_states),
             )
         self.submissions.clear()
         self.attempts.clear()
+        self.call_states.clear()
         self.final_outcomes.clear()
         self.acked_count = 0
         self.down_count = 0
 
 
-def _counts_text(counts: Counter[AdmissionOutcome] | Counter[SendOutcome] | Counter[FinalOutcome]) -> str:
+def _outcomes_text(outcomes: tuple[SendOutcome, ...]) -> str:
+    return ", ".join(outcomes) or "none, other endpoints of the destination failed"
+
+
+def _counts_text(
+    counts: Counter[AdmissionOutcome] | Counter[SendOutcome] | Counter[FinalOutcome] | Counter[CallState],
+) -> str:
     return ", ".join(f"{count} {key}" for key, count in counts.most_common()) or "none"
--- a/tests/service/test_activity.py
+++ b/tests/service/test_activity.py
@@ -14,9 +14,17 @@
     assert [
         line
         for line in lines
-        if "endpoint s-1 of destination 1 was marked down after 2 consecutive failures" in line
+        if "endpoint s-1 of destination 1 was marked down after 2 consecutive failures "
+        "(last outcomes: rate limited, rate limited)" in line
+    ]
+    assert [
+        line
+        for line in lines
+        if "endpoint s-1 of destination 1 is up again (outcomes before: rate limited, rate limited; last"
+        in line
     ]
-    assert [line for line in lines if "endpoint s-1 of destination 1 is up again" in line]
     counts = next(line for line in lines if "submissions: " in line)
     assert "1 rejected: the destination is in no endpoint list" in counts
     assert "2 rate limited" in counts and "1 acked" in counts
+    calls_by_state = counts.partition("calls by state: ")[2].split(", ")
+    assert sorted(calls_by_state) == ["1 after an unacked call", "1 normal", "1 trial"]
