Model of returns: a node is told when it learns of a failure; outages that reset calls

The rule counts calls of nodes that had learned, in an earlier batch, of a call that failed while the outage lasted. A call sent in the outage counts as told once its outcome is known, also if that is after the return.

New kind of outage: all calls are reset.

--- a/tests/support/cold_destination.py
+++ b/tests/support/cold_destination.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from random import Random
 
-from support.simulated_fleet import Fleet
+from support.simulated_fleet import Fleet, SimulatedEndpoint
 from swiftthread.lab.overload import overload_threshold
 from swiftthread.routing.messages import SendOutcome
 from swiftthread.routing.settings import StreamType
@@ -38,6 +38,7 @@
     NEVER_RESPONDS = "never responds"
     CONNECT_TIMES_OUT = "lets connection attempts time out"
     FAILS_MOST_CALLS = "fails most calls"
+    RESETS_ALL_CALLS = "resets the connections of all calls"
     REJECTS_ALL_CALLS = "rejects all calls"
     REJECTS_CALLS_AND_CONNECTIONS = "rejects all calls, most of them by rejecting the connection"
     REJECTS_ALL_CONNECTIONS = "rejects all connections"
@@ -89,8 +90,10 @@
 
     after_recovery_ms: float
     node: int
-    load: float = 1.0
+    load: float
     """The load in calls with a single event."""
+    is_aware: bool
+    """Whether the node had learned of an unsuccessful call or health check during the outage."""
 
 
 @dataclass(frozen=True)
@@ -117,10 +120,11 @@
 
 
 @dataclass
-class RecoveringRoute:
+class RecoveringRoute(SimulatedEndpoint):
     """A route that accepts calls up to its rate limit, has an outage and recovers with reduced capacity.
 
-    `aware_nodes` are the nodes with an unsuccessful call or health check during the outage.
+    `aware_nodes` are the nodes that have learned of an unsuccessful call or health check that they sent
+    during the outage.
     """
 
     scenario: RecoveryScenario
@@ -131,8 +135,10 @@
     """The last call of each node."""
     next_slot_at: float = -math.inf
 
-    def close(self, node):
-        """Close the idle connection of a node. This does nothing: the number of connections is unlimited."""
+    def record_outcome(self, node, outcome, sent_at, now):
+        was_sent_in_outage = self.scenario.outage_begins_at <= sent_at < self.scenario.outage_ends_at
+        if was_sent_in_outage and outcome != SendOutcome.ACKED:
+            self.aware_nodes.add(node)
 
     def respond(self, node, now):
         shared = self.shared_calls.get(node)
@@ -148,11 +154,11 @@
     def _record_arrival(self, node, now, load):
         after_recovery_ms = now - self.scenario.outage_ends_at
         if after_recovery_ms >= 0:
-            self.arrivals.append(Arrival(after_recovery_ms, node, load))
+            self.arrivals.append(Arrival(after_recovery_ms, node, load, node in self.aware_nodes))
 
     def _respond_to_call(self, node, now):
         if self.scenario.outage_begins_at <= now < self.scenario.outage_ends_at:
-            return self._respond_in_outage(node)
+            return self._respond_in_outage()
         capacity_share = self._capacity_share(now)
         interval_ms = 1000.0 / self.scenario.limit_per_s / capacity_share
         slot_at = max(now, self.next_slot_at)
@@ -163,15 +169,16 @@
             1 / MEAN_SERVICE_MS
         ) / capacity_share + NETWORK_ROUND_TRIP_MS, SendOutcome.ACKED
 
-    def _respond_in_outage(self, node):
+    def _respond_in_outage(self):
         if self.scenario.outage == Outage.FAILS_MOST_CALLS and self.rng.random() > FAILING_SHARE:
             return IMMEDIATE_RESPONSE_MS, SendOutcome.ACKED
-        self.aware_nodes.add(node)
         match self.scenario.outage:
             case Outage.REFUSES_CONNECTIONS:
                 return IMMEDIATE_RESPONSE_MS, SendOutcome.UNREACHABLE
             case Outage.CONNECT_TIMES_OUT:
                 return CONNECT_TIMEOUT_MS, SendOutcome.UNREACHABLE
+            case Outage.RESETS_ALL_CALLS:
+                return IMMEDIATE_RESPONSE_MS, SendOutcome.RESET
             case Outage.FAILS_MOST_CALLS:
                 return IMMEDIATE_RESPONSE_MS, SendOutcome.FAILED
             case Outage.REJECTS_ALL_CONNECTIONS:
@@ -211,7 +218,7 @@
             budget = self.scenario.warm_up_budget(arrival.after_recovery_ms)
             if load <= overload_threshold(budget):
                 continue
-            aware_load = sum(call.load for call in window if call.node in self.aware_nodes)
+            aware_load = sum(call.load for call in window if call.is_aware)
             if aware_load > MIN_AWARE_SHARE * load:
                 yield Overload(arrival.after_recovery_ms, load, aware_load, budget)
 
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -15,6 +15,16 @@
 CONNECTION_REJECTED_MS = 30.0  # latency of a connection that is rejected at the connection limit
 
 
+class SimulatedEndpoint:
+    """An endpoint that the nodes of a fleet share; `respond(node, now)` returns the response to a call."""
+
+    def close(self, node):
+        """Close the idle connection of a node."""
+
+    def record_outcome(self, node, outcome, sent_at, now):
+        """Observe that a node learned the outcome of a call or health check that it sent at `sent_at`."""
+
+
 @dataclass
 class ConnectionLimitedCall:
     """A call to an endpoint with a connection limit."""
@@ -32,7 +42,7 @@
     closes_at: float
 
 
-class ConnectionLimitedEndpoint:
+class ConnectionLimitedEndpoint(SimulatedEndpoint):
     """An endpoint with a connection limit.
 
     A call is served on the idle connection of its node, or on a new one while the limit is not reached.
@@ -88,6 +98,7 @@
     def end_attempt(self, ticket, endpoint, outcome, delay, retry_after_ms=0.0):
         if ticket not in self.session.in_flight:
             return  # the call belongs to the process before a restart
+        self.endpoints[endpoint].record_outcome(self.number, outcome, self.now - delay, self.now)
         if outcome != SendOutcome.CONNECTION_LIMIT:
             super().end_attempt(ticket, endpoint, outcome, delay, retry_after_ms)
             return
@@ -97,6 +108,10 @@
         self.session.apply_decision(event, decision, self.now, self)
         self.session.needs_recheck = True
 
+    def end_health_check(self, endpoint, outcome, delay):
+        self.endpoints[endpoint].record_outcome(self.number, outcome, self.now - delay, self.now)
+        super().end_health_check(endpoint, outcome, delay)
+
     def close_idle(self, _node, endpoint):
         self.endpoints[endpoint].close(self.number)
 
@@ -136,7 +151,7 @@
         return [line for node in self.nodes for line in node.lines if text in line]
 
 
-class RecoveringEndpoint:
+class RecoveringEndpoint(SimulatedEndpoint):
     """An endpoint that refuses connections during an outage, and records the calls after it."""
 
     def __init__(self, outage_begins_at, outage_ends_at):
@@ -155,7 +170,7 @@
         return sum(begin_ms <= received_at - self.outage_ends_at < end_ms for received_at in self.calls)
 
 
-class RateLimitedEndpoint:
+class RateLimitedEndpoint(SimulatedEndpoint):
     """An endpoint that serves at most `limit_per_s` calls per second; rejected calls count as well.
 
     `retry_after_ms` is the Retry-After of its rejections.
--- a/tests/support/simulated_node.py
+++ b/tests/support/simulated_node.py
@@ -118,14 +118,11 @@
     def check_health(self, _node, endpoint):
         self.add_trace_line(f"probe {endpoint}")
         delay, outcome, *_ = self.respond(None, endpoint, self.now) or (1000.0, SendOutcome.TIMED_OUT)
-        self.schedule(
-            self.now + delay,
-            self.session.router.record_health_check,
-            endpoint,
-            outcome,
-            self.now + delay,
-            delay,
-        )
+        self.schedule(self.now + delay, self.end_health_check, endpoint, outcome, delay)
+
+    def end_health_check(self, endpoint, outcome, delay):
+        """Finish a health check with its outcome."""
+        self.session.router.record_health_check(endpoint, outcome, self.now, delay)
 
     def close_idle(self, _node, endpoint):
         self.add_trace_line(f"close idle connections to {endpoint}")
