Take two unacked calls of any kind for an outage: rejected connections and resets too

Cause: HealthTracker counted rejected connections apart and held an endpoint to be down only after 1.5 s of them. Resets were left out of the count as well.

Change: any call that is not acked counts, and two in a row with no ack at the destination for a second mark the endpoint down. An ack after two such calls begins the warm-up, whatever their kind. Rejected connections still lower no rate.

--- a/swiftthread/routing/endpoint.py
+++ b/swiftthread/routing/endpoint.py
@@ -58,10 +58,6 @@
     has_passed_health_check: bool = False
     warm_up_began_at: float = -math.inf
 
-    consecutive_rejected_connections: int = 0
-    """Consecutive calls that were rejected together with their new connection."""
-    connections_rejected_since: float = -math.inf
-    """When the first of those calls was rejected."""
     connection_limit_reached_at: float = -math.inf
     """When the endpoint last appeared to have reached its connection limit."""
     blocked_until: float = -math.inf
--- a/swiftthread/routing/health.py
+++ b/swiftthread/routing/health.py
@@ -6,7 +6,7 @@
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.endpoint_list import EndpointList
 from swiftthread.routing.jitter import Jitter
-from swiftthread.routing.messages import UNRELATED_TO_HEALTH, LoadReport, SendOutcome
+from swiftthread.routing.messages import REJECTED, UNRELATED_TO_HEALTH, LoadReport, SendOutcome
 from swiftthread.routing.observer import EndpointDown, EndpointRecovering, RoutingObserver
 from swiftthread.routing.rate_limiter import RateLimiter
 from swiftthread.routing.recovery import RecoveryPacing
@@ -19,7 +19,7 @@
 RECENT_ACK_MS = 1000.0
 # Consecutive failed calls that indicate an outage; two can be chance.
 OUTAGE_CONSECUTIVE_FAILURES = 3
-# Consecutive failed or rejected calls that indicate an outage if the destination acked no call within
+# Consecutive unacked calls, of whatever kind, that indicate an outage if the destination acked no call within
 # `OUTAGE_UNACKED_MS`.
 OUTAGE_UNACKED_FAILURES = 2
 # An endpoint is marked down when its smoothed share of failed calls exceeds this ratio.
@@ -33,9 +33,6 @@
 MIN_TRIAL_PAUSE_MS = 300.0
 # Bounds of the random factor by which the pause after a rejected connection is multiplied.
 REJECTED_CONNECTION_PAUSE_FACTORS = (0.5, 1.5)
-# An endpoint that only rejects connections for this long, while its destination acks nothing, is marked
-# down; a burst of callers that reaches the connection limit is over sooner.
-OUTAGE_REJECTED_CONNECTIONS_MS = 1500.0
 # A connect that fails within this share of the connect timeout was refused, not left without a response.
 PROMPT_CONNECT_SHARE = 0.5
 # Events of a stream type are not sent to an endpoint for this long after one of them failed there; it covers
@@ -110,7 +107,7 @@
         if outcome != SendOutcome.ACKED:
             endpoint.unacked_outcomes = (*endpoint.unacked_outcomes, outcome)[-MAX_REPORTED_OUTCOMES:]
         if outcome == SendOutcome.CONNECTION_LIMIT:
-            self._record_rejected_connection(endpoint, now)
+            self._record_rejected_connection(endpoint, now, latency_ms)
         elif outcome == SendOutcome.ACKED:
             self._record_ack(endpoint, now, latency_ms)
         elif outcome == SendOutcome.RATE_LIMITED:
@@ -120,40 +117,25 @@
         else:
             self._record_error(endpoint, outcome, now, latency_ms)
 
-    def _record_rejected_connection(self, endpoint: Endpoint, now: float) -> None:
+    def _record_rejected_connection(self, endpoint: Endpoint, now: float, latency_ms: float) -> None:
         # Record that the endpoint rejected a connection because it has reached its connection limit.
         #
-        # This does not mean that the rate limit is exceeded, nor that the endpoint is unhealthy while it acks
-        # other calls. The cost arises where the connection limit stays reached for seconds under ordinary
-        # load: all calls to the endpoint pause, and it is marked down if its destination acks nothing
-        # meanwhile.
+        # This does not mean that the rate limit is exceeded, so the rate stays as it is. The cost arises
+        # where the connection limit stays reached for seconds under ordinary load: all calls to the endpoint
+        # pause, and it is marked down if its destination acks nothing meanwhile.
         endpoint.connection_limit_reached_at = now
         endpoint.blocked_until = now + MIN_TRIAL_PAUSE_MS * self.jitter.uniform(
             *REJECTED_CONNECTION_PAUSE_FACTORS
         )
-        if not endpoint.consecutive_rejected_connections:
-            endpoint.connections_rejected_since = now
-        endpoint.consecutive_rejected_connections += 1
-        # An endpoint that is down may reject nothing but connections. Nodes that went on retrying at a fixed
-        # pause would all call it when it recovers.
-        rejected_ms = now - endpoint.connections_rejected_since
-        if (
-            not endpoint.is_down
-            and min(rejected_ms, self._destination_unacked_ms(endpoint, now)) > OUTAGE_REJECTED_CONNECTIONS_MS
-        ):
-            endpoint.consecutive_failures = max(endpoint.consecutive_failures, 1)
-            self._mark_down(endpoint, SendOutcome.CONNECTION_LIMIT, now)
-
-    def _has_rejected_connections_without_acks(self, endpoint: Endpoint, now: float) -> bool:
-        # Return whether consecutive connections were rejected while the destination acked nothing.
-        has_consecutive_rejections = endpoint.consecutive_rejected_connections >= OUTAGE_UNACKED_FAILURES
-        return has_consecutive_rejections and self._destination_lacks_recent_ack(endpoint, now)
+        self._record_failure(endpoint, SendOutcome.CONNECTION_LIMIT, now, latency_ms)
 
     def _record_ack(self, endpoint: Endpoint, now: float, latency_ms: float) -> None:
-        may_be_recovering = endpoint.is_down or self._has_rejected_connections_without_acks(endpoint, now)
+        may_be_recovering = endpoint.is_down or (
+            endpoint.consecutive_failures >= OUTAGE_UNACKED_FAILURES
+            and self._destination_lacks_recent_ack(endpoint, now)
+        )
         endpoint.acked_at = now
         endpoint.consecutive_failures = 0
-        endpoint.consecutive_rejected_connections = 0
         endpoint.failure_ratio = endpoint.failure_ratio * (1 - FAILURE_SMOOTHING)
         if may_be_recovering:
             self._begin_warm_up(endpoint, now)
@@ -217,26 +199,20 @@
             and self._lacks_recent_ack(endpoint, now)
         ):
             self._mark_down(endpoint, outcome, now)
-        elif self._is_limiter_failing(endpoint.rate_limiter) and outcome != SendOutcome.RATE_LIMITED:
+        elif self._is_limiter_failing(endpoint.rate_limiter) and outcome not in REJECTED:
             endpoint.rate_limiter.reduce_rate(now, was_rejected=False)
 
     def _has_consecutive_failures(self, endpoint: Endpoint, outcome: SendOutcome, now: float) -> bool:
-        # Return whether there are too many consecutive failures or rejections to be chance.
+        # Return whether there are too many consecutive unacked calls to be chance.
         #
-        # Most nodes see an outage in one or two of their calls only. When the destination recovers, the calls
-        # of all nodes add up: nodes that go on at their normal rate overload it, however much the others slow
-        # down.
-        failures = sum(
-            other.consecutive_failures + other.consecutive_rejected_connections
-            for other in endpoint.destination.endpoints
-        )
-        has_unacked_failures = outcome != SendOutcome.RESET and failures >= OUTAGE_UNACKED_FAILURES
-        if has_unacked_failures and self._destination_lacks_recent_ack(endpoint, now):
+        # The kind of the failure makes no difference: an outage may show as any of them, and each is common
+        # under load as well. Most nodes see an outage in one or two of their calls only. When the destination
+        # recovers, the calls of all nodes add up: nodes that go on at their normal rate overload it, however
+        # much the others slow down.
+        failures = sum(other.consecutive_failures for other in endpoint.destination.endpoints)
+        if failures >= OUTAGE_UNACKED_FAILURES and self._destination_lacks_recent_ack(endpoint, now):
             return True
-        return (
-            outcome != SendOutcome.RATE_LIMITED
-            and endpoint.consecutive_failures >= OUTAGE_CONSECUTIVE_FAILURES
-        )
+        return outcome not in REJECTED and endpoint.consecutive_failures >= OUTAGE_CONSECUTIVE_FAILURES
 
     def _indicates_outage(self, endpoint: Endpoint, outcome: SendOutcome, latency_ms: float) -> bool:
         # Return whether a single failure is of a kind that an outage causes.
--- a/swiftthread/routing/messages.py
+++ b/swiftthread/routing/messages.py
@@ -46,6 +46,9 @@
 MAY_HAVE_RUN = (SendOutcome.FAILED, SendOutcome.TIMED_OUT, SendOutcome.RESET, SendOutcome.CANCELLED)
 """Outcomes after which the event may have had an effect, or may still have one."""
 
+REJECTED = (SendOutcome.RATE_LIMITED, SendOutcome.CONNECTION_LIMIT)
+"""Outcomes of calls that a working endpoint rejects when it has reached a limit."""
+
 UNRELATED_TO_HEALTH = (SendOutcome.CANCELLED, SendOutcome.NOT_EXECUTED, SendOutcome.NOT_SENT)
 """Outcomes that say nothing about the health of the endpoint."""
 
--- a/tests/routing/test_outages.py
+++ b/tests/routing/test_outages.py
@@ -157,3 +157,24 @@
         time_ms for seed in range(20) for time_ms, _ in sends(run_outage(seed)) if 4000.0 < time_ms < 10000.0
     ]
     assert len(trials) <= 6
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        SendOutcome.RATE_LIMITED,
+        SendOutcome.CONNECTION_LIMIT,
+        SendOutcome.FAILED,
+        SendOutcome.UNREACHABLE,
+        SendOutcome.RESET,
+    ],
+)
+def test_a_second_unacked_call_of_any_kind_marks_an_endpoint_down(outcome):
+    """Rejected connections and resets did not, and their nodes overloaded the destination at its recovery."""
+    router = SimulatedNode(ONE_ENDPOINT).run_until(0.0).session.router
+    event = router.add_event(0.0, 0, 0, 10000.0)
+    (endpoint,) = router.endpoints.values()
+    for time_ms in (0.0, 600.0):
+        router.decide(event, time_ms)
+        router.record_outcome(event, outcome, time_ms + 30.0, 30.0)
+    assert endpoint.is_down
