Recovery slots that no event used expire, instead of being used at once by a clump

Cause: a node that is down or warms up may call once its recovery slot has come, and kept that slot for as long as it had no event. The rates of all nodes sum to the budget; their unused slots do not. Thirty nodes whose slots had long passed sent thirty calls within 2 s where 18 are allowed (the new test without the change).

Change: a slot can be used for 250 ms; after that the next one is drawn at random within a pause. It counts from when the rate limit and Retry-After allow a call. Health checks use the same slots.

--- a/swiftthread/routing/health_checks.py
+++ b/swiftthread/routing/health_checks.py
@@ -26,11 +26,7 @@
 
     def start_due_checks(self, now: float) -> list[Endpoint]:
         """Return the endpoints to check now; the health check of each counts as in flight from now on."""
-        due = [
-            endpoint
-            for endpoint in self._endpoints_to_check()
-            if endpoint.rate_limiter.next_recovery_slot_at <= now >= endpoint.rate_limiter.retry_after_until
-        ]
+        due = [endpoint for endpoint in self._endpoints_to_check() if self._due_at(endpoint, now) <= now]
         for endpoint in due:
             endpoint.has_health_check_in_flight = True
             endpoint.rate_limiter.set_next_recovery_slot(now + self.recovery.pause_ms(endpoint, now))
@@ -45,12 +41,13 @@
 
     def next_at(self, now: float) -> float:
         """Return the next time after now at which a health check is due; inf when none is."""
-        due_times = (
-            max(endpoint.rate_limiter.next_recovery_slot_at, endpoint.rate_limiter.retry_after_until)
-            for endpoint in self._endpoints_to_check()
-        )
+        due_times = (self._due_at(endpoint, now) for endpoint in self._endpoints_to_check())
         return min((due_at for due_at in due_times if due_at > now), default=math.inf)
 
+    def _due_at(self, endpoint: Endpoint, now: float) -> float:
+        retry_after_until = endpoint.rate_limiter.retry_after_until
+        return max(retry_after_until, self.recovery.next_slot_at(endpoint, retry_after_until, now))
+
     def _endpoints_to_check(self) -> Iterable[Endpoint]:
         return [endpoint for endpoint in self.health.down_endpoints if self._needs_health_check(endpoint)]
 
--- a/swiftthread/routing/recovery.py
+++ b/swiftthread/routing/recovery.py
@@ -14,7 +14,9 @@
 # Share of the warm-up budget that the nodes use on average. Their schedules are independent, so the sum of
 # their calls varies by its square root (at 30 calls, a margin of two square roots and two calls is left).
 # Nodes that have not noticed the outage add calls at the rate of normal operation.
-BUDGET_SHARE = 0.86
+BUDGET_SHARE = 0.9
+# How long a recovery slot may be used after its time; longer than a node is delayed between two cycles.
+SLOT_VALIDITY_MS = 250.0
 
 
 class RecoveryPacing:
@@ -36,6 +38,23 @@
         """Return when the endpoint has its full capacity again."""
         return endpoint.warm_up_began_at + self.warm_up_ms
 
+    def next_slot_at(self, endpoint: Endpoint, ready_at: float, now: float) -> float:
+        """Return the next recovery slot of an endpoint that is down or warming up; draws one if it is past.
+
+        Args:
+            endpoint: The endpoint.
+            ready_at: The time, in ms, before which no call may be sent for other reasons; a slot can be used
+                for some time after it.
+            now: The time, in ms.
+        """
+        # A slot that no event used does not stay available: many nodes without events would all have one, and
+        # a number of events that arrive at the same time would all be sent at once.
+        limiter = endpoint.rate_limiter
+        if now - max(limiter.next_recovery_slot_at, ready_at) > SLOT_VALIDITY_MS:
+            pause_ms = self.pause_ms(endpoint, now) * self.jitter.uniform(0.0, 1.0)
+            limiter.set_next_recovery_slot(now + pause_ms)
+        return limiter.next_recovery_slot_at
+
     def reserve(self, endpoint: Endpoint, cost: float, now: float) -> None:
         """Move the next recovery slot later for a call, if the endpoint is down or warming up."""
         if not endpoint.is_down and not self.is_warming_up(endpoint, now):
--- a/swiftthread/routing/selection.py
+++ b/swiftthread/routing/selection.py
@@ -110,13 +110,15 @@
             ):
                 return math.inf
             is_free_trial = endpoint.has_passed_health_check or endpoint.is_down_without_own_failure
-            return max(now if is_free_trial else limiter.next_recovery_slot_at, limiter.ready_at())
+            ready_at = limiter.ready_at()
+            trial_at = now if is_free_trial else self.recovery.next_slot_at(endpoint, ready_at, now)
+            return max(trial_at, ready_at)
         if endpoint.calls_in_flight and self._is_unresponsive(endpoint, now):
             return math.inf
-        recovery_slot_at = (
-            limiter.next_recovery_slot_at if self.recovery.is_warming_up(endpoint, now) else now
-        )
-        return max(limiter.ready_at(), endpoint.blocked_until, recovery_slot_at)
+        ready_at = max(limiter.ready_at(), endpoint.blocked_until)
+        if self.recovery.is_warming_up(endpoint, now):
+            return max(ready_at, self.recovery.next_slot_at(endpoint, ready_at, now))
+        return max(ready_at, now)
 
     @staticmethod
     def _is_unresponsive(endpoint: Endpoint, now: float) -> bool:
--- a/tests/routing/test_connection_tables.py
+++ b/tests/routing/test_connection_tables.py
@@ -4,7 +4,7 @@
 from support.simulated_fleet import ConnectionLimitedEndpoint, Fleet
 from support.simulated_node import SimulatedNode
 
-from swiftthread.routing.messages import Defer, SendOutcome
+from swiftthread.routing.messages import Defer, Send, SendOutcome
 
 ROUTE = [("a", 0, 0, 0, 100.0, True)]
 
@@ -19,12 +19,19 @@
     assert len(fleet.trace_lines("reject ")) < 10
 
 
+def send(router, event, now):
+    """Make the next attempt of an event as soon as the router permits, and return the time."""
+    while not isinstance(router.decide(event, now), Send):
+        now = router.next_check(event, now).at
+    return now
+
+
 def test_rejected_connections_reduce_no_rate_and_are_no_outage_while_calls_are_acked():
     """Rejected connections were taken for an exceeded rate limit.
 
-    Rates were reduced, and two rejected connections marked a destination down. Where no call is acked for
-    more than 1.5 s, rejected connections do count as an outage, at an unchanged rate: an endpoint that is
-    down may reject nothing but connections (test_slow_start_budget.py).
+    Rates were reduced, and two rejected connections marked a destination down. Where no call is acked for a
+    second, rejected connections do count as an outage, at an unchanged rate: an endpoint that is down may
+    reject nothing but connections (test_slow_start_budget.py).
     """
 
     def rate_ratio_and_state_after(outcome, acks_between=False):
@@ -37,8 +44,8 @@
                 acked = router.add_event(time_ms - 700.0, 0, 0, 10000.0)
                 router.decide(acked, time_ms - 700.0)
                 router.record_outcome(acked, SendOutcome.ACKED, time_ms - 650.0, 50.0, is_event_finished=True)
-            router.decide(event, time_ms)
-            router.record_outcome(event, outcome, time_ms + 30.0, 30.0)
+            sent_at = send(router, event, time_ms)
+            router.record_outcome(event, outcome, sent_at + 30.0, 30.0)
         return limiter.rate / rate, router.endpoints["a"].is_down
 
     rate_ratio, is_down = rate_ratio_and_state_after(SendOutcome.CONNECTION_LIMIT, acks_between=True)
--- a/tests/routing/test_outages.py
+++ b/tests/routing/test_outages.py
@@ -171,7 +171,8 @@
 )
 def test_a_second_unacked_call_of_any_kind_marks_an_endpoint_down(outcome):
     """Rejected connections and resets did not, and their nodes overloaded the destination at its recovery."""
-    router = SimulatedNode(ONE_ENDPOINT).run_until(0.0).session.router
+    run = SimulatedNode(ONE_ENDPOINT, connect_timeout_ms=1500.0).run_until(0.0)
+    router = run.session.router
     event = router.add_event(0.0, 0, 0, 10000.0)
     (endpoint,) = router.endpoints.values()
     for time_ms in (0.0, 600.0):
--- a/tests/routing/test_recovery_ramp.py
+++ b/tests/routing/test_recovery_ramp.py
@@ -5,6 +5,8 @@
 import pytest
 from support.simulated_fleet import Fleet, RecoveringEndpoint
 
+from swiftthread.lab.overload import overload_threshold
+
 NODE_COUNT = 30
 LIMIT_PER_S = 20.0  # calls that the destination accepts
 LOAD_PER_S = 18.0  # events of all nodes
@@ -73,3 +75,17 @@
             / allowed_calls(begin, end)
         )
         assert used_share > min_share, f"{used_share:.2f} of what is allowed from {begin:.0f} to {end:.0f} ms"
+
+
+def test_recovery_slots_that_passed_unused_are_not_used_at_once():
+    """Each of thirty nodes had a slot that no event had used, and a clump of events used all of them."""
+    limit, ends_at = 6.0, 60000.0
+    endpoint = RecoveringEndpoint(OUTAGE_BEGINS_AT, ends_at)
+    fleet = Fleet(NODE_COUNT, [("a", 0, 0, 0, limit, True)], {"a": endpoint})
+    fleet.schedule_load(1, 9.0, 0.0, OUTAGE_BEGINS_AT + 10000.0)
+    for node in fleet.nodes:
+        node.schedule(ends_at + 100.0, node.submit, 1_000_000)
+    fleet.run_until(ends_at + WARM_UP_MS)
+    assert (
+        0 < endpoint.calls_within(0.0, WINDOW_MS) <= overload_threshold(allowed_calls(0.0, WINDOW_MS, limit))
+    )
--- a/tests/support/cold_destination.py
+++ b/tests/support/cold_destination.py
@@ -64,6 +64,8 @@
     """Events per second, as a share of the total rate limit of all routes."""
     restarted_share: float = 0.0
     """Share of the nodes that are killed and restarted at a random time during the outage."""
+    connection_limit_share: float = 0.0
+    """Share of the calls outside the outage that are rejected because the connection limit is reached."""
     batch_size: int = 1
     """Maximum number of events in one call."""
     clump_s: float = 0.0
@@ -159,6 +161,8 @@
     def _respond_to_call(self, node, now):
         if self.scenario.outage_begins_at <= now < self.scenario.outage_ends_at:
             return self._respond_in_outage()
+        if self.scenario.connection_limit_share and self.rng.random() < self.scenario.connection_limit_share:
+            return IMMEDIATE_RESPONSE_MS, SendOutcome.CONNECTION_LIMIT
         capacity_share = self._capacity_share(now)
         interval_ms = 1000.0 / self.scenario.limit_per_s / capacity_share
         slot_at = max(now, self.next_slot_at)
--- a/tests/support/recovery_study.py
+++ b/tests/support/recovery_study.py
@@ -49,6 +49,7 @@
         cold_capacity_share=rng.choice((0.15, 0.2)),
         load_share=load_share,
         restarted_share=rng.choice((0.0, 0.0, 0.05, 0.3)),
+        connection_limit_share=rng.choice((0.0, 0.0, 0.1, 0.3)),
         batch_size=rng.choice((1, 5)),
         clump_s=rng.choice((0.0, 0.0, 1.0, 3.4)),
         clump_after_recovery_ms=rng.choice((100.0, 2000.0)),
