Three unacked calls in a warm-up mark an endpoint down again

Cause: the due end of a warm-up counts like an ack, so failures in it do not count towards an outage. A node that had taken a used-up limit for an outage was in a warm-up when the real one began, and called on at its pace, unpaced when it ended.

Change: three consecutive unacked calls with no ack for a second count in a warm-up too; two do not, because a destination that warms up rejects many calls of a fleet that may send twice its capacity.

--- a/swiftthread/routing/health.py
+++ b/swiftthread/routing/health.py
@@ -22,6 +22,8 @@
 # Consecutive unacked calls, of whatever kind, that indicate an outage if the destination acked no call within
 # `OUTAGE_UNACKED_MS`.
 OUTAGE_UNACKED_FAILURES = 2
+# The same number for an endpoint that warms up, because it rejects many calls.
+OUTAGE_WARM_UP_FAILURES = 3
 # An endpoint is marked down when its smoothed share of failed calls exceeds this ratio.
 MAX_FAILURE_RATIO = 0.6
 # Weight of the newest call in the smoothed share, which thus reflects about the last dozen calls.
@@ -212,6 +214,9 @@
         failures = sum(other.consecutive_failures for other in endpoint.destination.endpoints)
         if failures >= OUTAGE_UNACKED_FAILURES and self._destination_lacks_recent_ack(endpoint, now):
             return True
+        is_unacked_in_warm_up = now - self._destination_acked_at(endpoint) > OUTAGE_UNACKED_MS
+        if is_unacked_in_warm_up and endpoint.consecutive_failures >= OUTAGE_WARM_UP_FAILURES:
+            return True
         return outcome not in REJECTED and endpoint.consecutive_failures >= OUTAGE_CONSECUTIVE_FAILURES
 
     def _indicates_outage(self, endpoint: Endpoint, outcome: SendOutcome, latency_ms: float) -> bool:
@@ -233,16 +238,16 @@
         return now - healthy_at > OUTAGE_UNACKED_MS
 
     def _destination_lacks_recent_ack(self, endpoint: Endpoint, now: float) -> bool:
-        return self._destination_unacked_ms(endpoint, now) > OUTAGE_UNACKED_MS
-
-    def _destination_unacked_ms(self, endpoint: Endpoint, now: float) -> float:
-        # Return the time since the destination of an endpoint last acked a call.
-        #
-        # A later due end of the warm-up of one of its endpoints counts like an ack at that time.
-        return min(
-            now - max(other.acked_at, self.recovery.warm_up_ends_at(other))
-            for other in [endpoint, *endpoint.destination.endpoints]
+        # A later due end of the warm-up of an endpoint of the destination counts like an ack at that time.
+        warm_up_ends_at = max(
+            self.recovery.warm_up_ends_at(other) for other in [endpoint, *endpoint.destination.endpoints]
         )
+        return now - max(self._destination_acked_at(endpoint), warm_up_ends_at) > OUTAGE_UNACKED_MS
+
+    @staticmethod
+    def _destination_acked_at(endpoint: Endpoint) -> float:
+        # Return when the destination of an endpoint last acked a call; -inf if it never did.
+        return max(other.acked_at for other in [endpoint, *endpoint.destination.endpoints])
 
     @staticmethod
     def _is_limiter_failing(limiter: RateLimiter) -> bool:
--- a/tests/routing/test_outages.py
+++ b/tests/routing/test_outages.py
@@ -6,7 +6,7 @@
 from support.event_bursts import ONE_ENDPOINT, sends
 from support.simulated_node import SimulatedNode
 
-from swiftthread.routing.messages import SendOutcome
+from swiftthread.routing.messages import Send, SendOutcome
 
 
 def test_an_unresponsive_endpoint_gets_no_further_calls():
@@ -179,3 +179,20 @@
         router.decide(event, time_ms)
         router.record_outcome(event, outcome, time_ms + 30.0, 30.0)
     assert endpoint.is_down
+
+
+@pytest.mark.parametrize("outcome", [SendOutcome.RATE_LIMITED, SendOutcome.CONNECTION_LIMIT])
+def test_three_unacked_calls_in_a_warm_up_mark_an_endpoint_down_again(outcome):
+    """Failures in a warm-up did not count: a node that took a limit for an outage missed the next outage."""
+    router = SimulatedNode(ONE_ENDPOINT).run_until(0.0).session.router
+    (endpoint,) = router.endpoints.values()
+    endpoint.acked_at = endpoint.warm_up_began_at = 0.0
+    event = router.add_event(0.0, 0, 0, 30000.0)
+    states = []
+    now = 1000.0
+    for _ in range(3):
+        while not isinstance(router.decide(event, now), Send):
+            now = router.next_check(event, now).at
+        router.record_outcome(event, outcome, now + 30.0, 30.0)
+        states.append(endpoint.is_down)
+    assert now < 8000.0 and states == [False, False, True]
