Tell a usual connection limit from an outage by the rejections between two acks

Cause: a single run of rejected connections says nothing of which of the two it is. A connection limit lets some calls through in any second; an outage none.

Change: each ack outside an outage adds the rejected connections before it to a smoothed share for that endpoint. A run of up to four rejected connections is no outage where chance explains one of its length (over 2 %); a node that has not met the limit before takes two for an outage, as before.

--- a/swiftthread/routing/endpoint.py
+++ b/swiftthread/routing/endpoint.py
@@ -58,6 +58,10 @@
     has_passed_health_check: bool = False
     warm_up_began_at: float = -math.inf
 
+    consecutive_rejected_connections: int = 0
+    """Consecutive calls that were rejected together with their new connection."""
+    rejected_connection_share: float = 0.0
+    """Smoothed share of such calls, of the calls up to the last ack and outside outages."""
     connection_limit_reached_at: float = -math.inf
     """When the endpoint last appeared to have reached its connection limit."""
     blocked_until: float = -math.inf
--- a/swiftthread/routing/health.py
+++ b/swiftthread/routing/health.py
@@ -24,6 +24,10 @@
 OUTAGE_UNACKED_FAILURES = 2
 # The same number for an endpoint that warms up, because it rejects many calls.
 OUTAGE_WARM_UP_FAILURES = 3
+# A run of rejected connections at an endpoint with a connection limit is usual, and no outage, if one of its
+# length is more probable than this and it is shorter than the maximum.
+USUAL_RUN_PROBABILITY = 0.02
+MAX_USUAL_REJECTED_CONNECTIONS = 5
 # An endpoint is marked down when its smoothed share of failed calls exceeds this ratio.
 MAX_FAILURE_RATIO = 0.6
 # Weight of the newest call in the smoothed share, which thus reflects about the last dozen calls.
@@ -129,15 +133,42 @@
         endpoint.blocked_until = now + MIN_TRIAL_PAUSE_MS * self.jitter.uniform(
             *REJECTED_CONNECTION_PAUSE_FACTORS
         )
+        endpoint.consecutive_rejected_connections += 1
         self._record_failure(endpoint, SendOutcome.CONNECTION_LIMIT, now, latency_ms)
 
+    @staticmethod
+    def _learn_rejected_connection_share(endpoint: Endpoint) -> None:
+        # Record how usual rejected connections are at an endpoint that has now acked a call.
+        share = endpoint.rejected_connection_share
+        for _ in range(endpoint.consecutive_rejected_connections):
+            share += FAILURE_SMOOTHING * (1 - share)
+        endpoint.rejected_connection_share = share * (1 - FAILURE_SMOOTHING)
+
+    @staticmethod
+    def _is_usual_connection_limit(endpoint: Endpoint) -> bool:
+        # Return whether the rejected connections since the last ack may be chance at this endpoint.
+        #
+        # A connection limit lets some calls through in any second, an outage none. So what tells them apart
+        # is how often this node has been rejected between two acks.
+        count = endpoint.consecutive_rejected_connections
+        is_run_of_rejected_connections = count == endpoint.consecutive_failures
+        return (
+            is_run_of_rejected_connections
+            and count < MAX_USUAL_REJECTED_CONNECTIONS
+            and endpoint.rejected_connection_share**count > USUAL_RUN_PROBABILITY
+        )
+
     def _record_ack(self, endpoint: Endpoint, now: float, latency_ms: float) -> None:
         may_be_recovering = endpoint.is_down or (
             endpoint.consecutive_failures >= OUTAGE_UNACKED_FAILURES
             and self._destination_lacks_recent_ack(endpoint, now)
+            and not self._is_usual_connection_limit(endpoint)
         )
+        if not may_be_recovering:
+            self._learn_rejected_connection_share(endpoint)
         endpoint.acked_at = now
         endpoint.consecutive_failures = 0
+        endpoint.consecutive_rejected_connections = 0
         endpoint.failure_ratio = endpoint.failure_ratio * (1 - FAILURE_SMOOTHING)
         if may_be_recovering:
             self._begin_warm_up(endpoint, now)
@@ -212,12 +243,16 @@
         # recovers, the calls of all nodes add up: nodes that go on at their normal rate overload it, however
         # much the others slow down.
         failures = sum(other.consecutive_failures for other in endpoint.destination.endpoints)
+        if self._lacks_acks(endpoint, failures, now):
+            return not self._is_usual_connection_limit(endpoint)
+        return outcome not in REJECTED and endpoint.consecutive_failures >= OUTAGE_CONSECUTIVE_FAILURES
+
+    def _lacks_acks(self, endpoint: Endpoint, failures: int, now: float) -> bool:
+        # Return whether the destination acked nothing for too long, and too many calls failed meanwhile.
         if failures >= OUTAGE_UNACKED_FAILURES and self._destination_lacks_recent_ack(endpoint, now):
             return True
         is_unacked_in_warm_up = now - self._destination_acked_at(endpoint) > OUTAGE_UNACKED_MS
-        if is_unacked_in_warm_up and endpoint.consecutive_failures >= OUTAGE_WARM_UP_FAILURES:
-            return True
-        return outcome not in REJECTED and endpoint.consecutive_failures >= OUTAGE_CONSECUTIVE_FAILURES
+        return is_unacked_in_warm_up and endpoint.consecutive_failures >= OUTAGE_WARM_UP_FAILURES
 
     def _indicates_outage(self, endpoint: Endpoint, outcome: SendOutcome, latency_ms: float) -> bool:
         # Return whether a single failure is of a kind that an outage causes.
--- a/tests/routing/test_connection_tables.py
+++ b/tests/routing/test_connection_tables.py
@@ -1,5 +1,6 @@
 """Connection limits of endpoints that many nodes share: what is harmless in one node is harmful in many."""
 
+import pytest
 from support.event_bursts import ONE_ENDPOINT
 from support.simulated_fleet import ConnectionLimitedEndpoint, Fleet
 from support.simulated_node import SimulatedNode
@@ -61,6 +62,26 @@
     assert rate_ratio < 0.5 and is_down
 
 
+@pytest.mark.parametrize("rejected_before, is_down", [(False, True), (True, False)])
+def test_rejected_connections_are_usual_where_some_calls_got_through_between_them(rejected_before, is_down):
+    """A node that is often rejected by a connection limit was held up by it as by an outage."""
+    router = SimulatedNode(ROUTE, node_count=20).run_until(0.0).session.router
+    endpoint = router.endpoints["a"]
+    now = 0.0
+    for _ in range(20):
+        event = router.add_event(now, 0, 0, 10000.0)
+        for outcome in (SendOutcome.CONNECTION_LIMIT,) * rejected_before + (SendOutcome.ACKED,):
+            now = send(router, event, now)
+            router.record_outcome(event, outcome, now, 30.0, is_event_finished=outcome == SendOutcome.ACKED)
+    event = router.add_event(now, 0, 0, 60000.0)
+    states = []
+    for _ in range(5):
+        now = send(router, event, now + 1500.0)
+        router.record_outcome(event, SendOutcome.CONNECTION_LIMIT, now, 30.0)
+        states.append(endpoint.is_down)
+    assert states[1] == is_down and states[-1]
+
+
 def test_a_connection_is_retained_while_an_event_is_pending_for_its_destination():
     """It was closed in the scheduling cycle in which its call ended; a new one cost time of the next slot."""
     node = SimulatedNode([("a", 0, 0, 0, 1.0, True)], keepalive_ms=5000.0).run_until(0.0).session.router
