--- a/tests/routing/test_connection_tables.py
+++ b/tests/routing/test_connection_tables.py
@@ -3,9 +3,9 @@
 import pytest
 from support.event_bursts import ONE_ENDPOINT
 from support.simulated_fleet import ConnectionLimitedEndpoint, Fleet
-from support.simulated_node import SimulatedNode
+from support.simulated_node import SimulatedNode, send
 
-from swiftthread.routing.messages import Defer, Send, SendOutcome
+from swiftthread.routing.messages import Defer, SendOutcome
 
 ROUTE = [("a", 0, 0, 0, 100.0, True)]
 
@@ -20,13 +20,6 @@
     assert len(fleet.trace_lines("reject ")) < 10
 
 
-def send(router, event, now):
-    """Make the next attempt of an event as soon as the router permits, and return the time."""
-    while not isinstance(router.decide(event, now), Send):
-        now = router.next_check(event, now).at
-    return now
-
-
 def test_rejected_connections_reduce_no_rate_and_are_no_outage_while_calls_are_acked():
     """Rejected connections were taken for an exceeded rate limit.
 
--- a/tests/routing/test_outages.py
+++ b/tests/routing/test_outages.py
@@ -4,9 +4,9 @@
 
 import pytest
 from support.event_bursts import ONE_ENDPOINT, sends
-from support.simulated_node import SimulatedNode
+from support.simulated_node import SimulatedNode, send
 
-from swiftthread.routing.messages import Send, SendOutcome
+from swiftthread.routing.messages import SendOutcome
 
 
 def test_an_unresponsive_endpoint_gets_no_further_calls():
@@ -191,8 +191,7 @@
     states = []
     now = 1000.0
     for _ in range(3):
-        while not isinstance(router.decide(event, now), Send):
-            now = router.next_check(event, now).at
+        now = send(router, event, now)
         router.record_outcome(event, outcome, now + 30.0, 30.0)
         states.append(endpoint.is_down)
     assert now < 8000.0 and states == [False, False, True]
--- a/tests/support/cold_destination.py
+++ b/tests/support/cold_destination.py
@@ -137,7 +137,7 @@
     """The last call of each node."""
     next_slot_at: float = -math.inf
 
-    def record_outcome(self, node, outcome, sent_at, now):
+    def record_outcome(self, node, outcome, sent_at):
         was_sent_in_outage = self.scenario.outage_begins_at <= sent_at < self.scenario.outage_ends_at
         if was_sent_in_outage and outcome != SendOutcome.ACKED:
             self.aware_nodes.add(node)
--- a/tests/support/simulated_fleet.py
+++ b/tests/support/simulated_fleet.py
@@ -21,7 +21,7 @@
     def close(self, node):
         """Close the idle connection of a node."""
 
-    def record_outcome(self, node, outcome, sent_at, now):
+    def record_outcome(self, node, outcome, sent_at):
         """Observe that a node learned the outcome of a call or health check that it sent at `sent_at`."""
 
 
@@ -98,7 +98,7 @@
     def end_attempt(self, ticket, endpoint, outcome, delay, retry_after_ms=0.0):
         if ticket not in self.session.in_flight:
             return  # the call belongs to the process before a restart
-        self.endpoints[endpoint].record_outcome(self.number, outcome, self.now - delay, self.now)
+        self.endpoints[endpoint].record_outcome(self.number, outcome, self.now - delay)
         if outcome != SendOutcome.CONNECTION_LIMIT:
             super().end_attempt(ticket, endpoint, outcome, delay, retry_after_ms)
             return
@@ -109,7 +109,7 @@
         self.session.needs_recheck = True
 
     def end_health_check(self, endpoint, outcome, delay):
-        self.endpoints[endpoint].record_outcome(self.number, outcome, self.now - delay, self.now)
+        self.endpoints[endpoint].record_outcome(self.number, outcome, self.now - delay)
         super().end_health_check(endpoint, outcome, delay)
 
     def close_idle(self, _node, endpoint):
--- a/tests/support/simulated_node.py
+++ b/tests/support/simulated_node.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from support.stream_types import IDEMPOTENT
-from swiftthread.routing.messages import SendOutcome
+from swiftthread.routing.messages import Send, SendOutcome
 from swiftthread.routing.settings import Settings
 from swiftthread.simulator.messages import OUTCOMES_BY_CODE, AttemptResult
 from swiftthread.simulator.sessions import Session
@@ -21,6 +21,13 @@
 CODES_BY_OUTCOME = {outcome: code for code, outcome in OUTCOMES_BY_CODE.items()}
 
 
+def send(router, event, now):
+    """Make the next attempt of an event as soon as the router permits, and return the time."""
+    while not isinstance(router.decide(event, now), Send):
+        now = router.next_check(event, now).at
+    return now
+
+
 class SimulatedNode:
     """A session, a clock, and endpoints that respond as `respond(ticket, endpoint, now)` returns.
 
