--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -34,6 +34,12 @@
     return time.time() - age_ms / 1000.0
 
 
+def send_if_open(conn, data):
+    """Send bytes on a connection, unless it is closed."""
+    with contextlib.suppress(OSError):
+        conn.sendall(data)
+
+
 class FakeHttpServer:
     """An HTTP/1.1 server with one thread per connection.
 
@@ -56,6 +62,8 @@
         # While this event is not set, no connection is accepted, except one for which `accept` already waits.
         self.gate = threading.Event()
         self.gate.set()
+        # Returns after how many s the next response is written a second time; None: it is not.
+        self.draw_copy_delay_s = lambda: None
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
@@ -113,16 +121,23 @@
         elif callable(response):
             response(conn)
         else:
-            status, response_headers, response_body = response
-            response_headers = [*response_headers, ("Content-Length", str(len(response_body)))]
-            conn.sendall(
-                parser.send(h11.Response(status_code=status, headers=response_headers))
-                + parser.send(h11.Data(data=response_body))
-                + parser.send(h11.EndOfMessage())
-            )
+            self._send_response(conn, parser, *response)
             return True
         return False
 
+    def _send_response(self, conn, parser, status, headers, body):
+        response = (
+            parser.send(
+                h11.Response(status_code=status, headers=[*headers, ("Content-Length", str(len(body)))])
+            )
+            + parser.send(h11.Data(data=body))
+            + parser.send(h11.EndOfMessage())
+        )
+        copy_delay_s = self.draw_copy_delay_s()
+        conn.sendall(response * 2 if copy_delay_s == 0 else response)
+        if copy_delay_s:
+            threading.Timer(copy_delay_s, send_if_open, (conn, response)).start()
+
     def shut_down(self):
         """Shut down all connections, and accept no new ones."""
         # After a close alone, a blocked accept would accept one more connection.
