A response ends its own call: connections rest before reuse

Cause: HTTP/1.1 assigns responses by their order on a connection, and ConnectionPool.acquire handed out the connection used last after one look for unread bytes. A copy of a response that came 0 to 13 ms later ended the next call, and each later response the call before. A complete batch response that named other events ended as a reset, and its connection went back into the pool.

Change: routing/connection_reuse.py decides which connections carry a further call: those that have rested 300 ms with nothing to read, the longest idle first; a new one for non-idempotent events and ordering keys. After an unsolicited response an endpoint's connections carry one call each for 60 s, and so do all connections if two endpoints sent one. A connection whose call was not acked is closed: no copy of a rejection can end a later call, and a call whose rejection was another's is given up. A response on a reused connection that names other events, or comes together with another response, leaves its events as possibly run. Logs: closed connections by reason, calls on new and on reused connections, unsolicited responses by endpoint, a line at an endpoint's first one, and the events of each call whose response is in doubt.

--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -10,7 +10,7 @@
 
 from swiftthread.client.batch import Batch
 from swiftthread.client.endpoint_call import Clock, EndpointCall, SendDeadline
-from swiftthread.client.endpoint_connections import EndpointConnections
+from swiftthread.client.endpoint_connections import CallEnding, EndpointConnections
 from swiftthread.client.endpoint_request import HOST_HEADER
 from swiftthread.client.endpoint_response import parse_load_report, read_results
 from swiftthread.client.http_exchange import HttpRequest, HttpResponse, exchange
@@ -18,7 +18,9 @@
 from swiftthread.network.address import Address
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.connection import Connection, ConnectionClosed
+from swiftthread.network.connection_observer import ConnectionObserver
 from swiftthread.network.connection_pool import ConnectionPool
+from swiftthread.routing.connection_reuse import ConnectionReuse
 from swiftthread.routing.messages import Send, SendOutcome
 
 if TYPE_CHECKING:
@@ -48,13 +50,17 @@
         connect_timeout_ms: float,
         report_fields: Collection[str],
         send_deadline: SendDeadline,
+        reuse: ConnectionReuse,
+        observer: ConnectionObserver,
     ) -> None:
         self.tasks = tasks
         """Task group in which the calls run."""
         # `connections` is the pool of idle connections, and `buffers` the pool of buffers for reads.
         # `addresses` has the addresses as (host, port), by endpoint id; their owner updates the mapping in
-        # place.
-        self.connections = EndpointConnections(connections, buffers, addresses, connect_timeout_ms)
+        # place. `reuse` decides which connections carry a further call.
+        self.connections = EndpointConnections(
+            connections, buffers, addresses, connect_timeout_ms, reuse, observer
+        )
         self.clock = clock
         """Returns the monotonic time in ms."""
         self.log_clock = log_clock
@@ -94,9 +100,13 @@
         call = EndpointCall(batch, self.connections, self.clock, self.log_clock, self.send_deadline)
         if len(batch.sends) > 1:
             self.tasks.start_soon(call.finish_expired_sends)
-        completed = await call.run()
         events = [send.pending for send in batch.sends]
-        results = read_results(call.response, completed, events, len(batch.in_call), self.report_fields)
+        results: list[SendResult] = []
+        try:
+            completed = await call.run()
+            results = read_results(call.response, completed, events, len(batch.in_call), self.report_fields)
+        finally:
+            call.release(results)
         for send, result in zip(batch.sends, results, strict=True):
             send.finish(result)
 
@@ -110,14 +120,14 @@
         outcome = SendOutcome.TIMED_OUT
         try:
             with anyio.move_on_after(self.connect_timeout_ms / 1000.0) as deadline_scope:
-                connection = await self.connections.acquire(key)
+                connection = await self.connections.acquire(key, ())
                 await exchange(connection, request, response, deadline_scope)
         except ConnectionClosed:
             outcome = SendOutcome.UNREACHABLE
         except Exception:  # keeps the node running: the health check counts as one without a response
             logger.exception("endpoint {}, address {}: a health check failed; it counts as timed out", *key)
         finally:
-            self.connections.release(key, connection, response)
+            self.connections.release(key, connection, response, CallEnding.ACKED)
         # If the endpoint's address has changed meanwhile, another endpoint may have sent the response.
         if response.first_line_status is not None and self.connections.key_of(endpoint) == key:
             outcome = _OUTCOME_BY_HEALTH_STATUS.get(response.first_line_status, SendOutcome.FAILED)
--- a/swiftthread/client/endpoint_response.py
+++ b/swiftthread/client/endpoint_response.py
@@ -55,6 +55,8 @@
     is_first_on_connection: bool
     received_at: float
     """When the kernel received the response, in ms on the clock of the write-ahead log."""
+    is_response_in_doubt: bool = False
+    """Whether the response may belong to an earlier call on the connection."""
 
 
 def read_results(
@@ -68,6 +70,8 @@
     # `response` is the response as far as it was received, and `call` is how the call ended apart from the
     # response. `events` has all events of the call's batch, of which `in_call_count` were in the request.
     # `report_fields` has the names of the fields of a load report.
+    if call.is_response_in_doubt:
+        response = HttpResponse()
     retry_after_ms = parse_retry_after_ms(response.headers)
     report = parse_load_report(response.headers, report_fields)
     states: dict[str, EventState] = {}
@@ -118,6 +122,15 @@
     return SendOutcome.FAILED
 
 
+def names_other_events(response: HttpResponse, event_ids: Collection[str]) -> bool:
+    """Returns whether the response to a call of several events names an event that was not in the call."""
+    try:
+        named_ids = {entry["id"] for entry in json.loads(bytes(response.body))}
+    except PARSE_ERRORS:
+        return False
+    return not named_ids <= set(event_ids)
+
+
 def parse_retry_after_ms(headers: Mapping[str, str]) -> float:
     """Returns the wait in a Retry-After header, in ms; 0 if it is missing or not a positive number."""
     try:
--- a/swiftthread/client/http_exchange.py
+++ b/swiftthread/client/http_exchange.py
@@ -52,6 +52,7 @@
         "has_begun",
         "is_complete",
         "has_trailing_bytes",
+        "is_followed_by_response",
     )
 
     def __init__(self) -> None:
@@ -74,6 +75,8 @@
 
         If they do, its length may be wrong.
         """
+        self.is_followed_by_response = False
+        """Whether another response arrived together with it."""
 
     def feed_from(self, connection: Connection) -> bool:
         """Read the bytes that the connection's parser has received; return whether the response is complete.
@@ -98,7 +101,8 @@
             self.has_begun = True
             raise ConnectionClosed(True) from None
         trailing_bytes = parser.trailing_data[0]
-        self.has_trailing_bytes = trailing_bytes != b"" and not _FIRST_LINE.match(trailing_bytes)
+        self.is_followed_by_response = bool(_FIRST_LINE.match(trailing_bytes))
+        self.has_trailing_bytes = trailing_bytes != b"" and not self.is_followed_by_response
         return True
 
     def _handle_part(self, part: object) -> None:
--- a/swiftthread/network/connection.py
+++ b/swiftthread/network/connection.py
@@ -10,6 +10,7 @@
 import struct
 import termios
 from collections.abc import Awaitable, Callable
+from enum import Enum, auto
 from typing import Self
 
 import anyio
@@ -30,6 +31,18 @@
 # Longest time that an established connection waits to be accepted while its peer is still connected.
 MAX_ACCEPT_DELAY_MS = 3000.0
 TIOCOUTQ_RESULT = struct.Struct("i")  # the number of written bytes that the peer's host has not acknowledged
+RESPONSE_PREFIX = b"HTTP/1."  # the first bytes of every HTTP/1.x response
+
+
+class UnreadInput(Enum):
+    """What has arrived on a connection since its last read."""
+
+    NOTHING = auto()
+    END = auto()
+    """The peer has closed or reset the connection."""
+    RESPONSE = auto()
+    """Bytes that may be the beginning of an HTTP response."""
+    OTHER_BYTES = auto()
 
 
 class ConnectionClosed(Exception):
@@ -57,6 +70,8 @@
         self.idle_since: float | None = None
         """When the connection was last released to a pool, on the pool's clock; None until its first
         release."""
+        self.call_count = 0
+        """How many calls to an endpoint were written on it."""
         self.received_at: float | None = None
         """Monotonic ms at which the kernel received the bytes that were read last; None if the kernel gave no
         timestamp."""
@@ -143,6 +158,18 @@
             pass
         return False
 
+    def unread_input(self) -> UnreadInput:
+        """Return what has arrived since the last read, without reading it."""
+        try:
+            first_bytes = self.socket.recv(len(RESPONSE_PREFIX), socket.MSG_PEEK)
+        except BlockingIOError:
+            return UnreadInput.NOTHING
+        except OSError:
+            return UnreadInput.END
+        if not first_bytes:
+            return UnreadInput.END
+        return UnreadInput.RESPONSE if RESPONSE_PREFIX.startswith(first_bytes) else UnreadInput.OTHER_BYTES
+
     def peer_has_closed(self) -> bool:
         """Return whether the peer has closed."""
         # The result is True even if bytes that it sent are still unread.
--- a/swiftthread/network/connection_pool.py
+++ b/swiftthread/network/connection_pool.py
@@ -7,7 +7,13 @@
 from typing import NamedTuple
 
 from swiftthread.network.address import Address
-from swiftthread.network.connection import Connection
+from swiftthread.network.connection import Connection, UnreadInput
+from swiftthread.network.connection_observer import CloseReason
+
+_REASON_BY_UNREAD_INPUT = {
+    UnreadInput.RESPONSE: CloseReason.UNSOLICITED_RESPONSE,
+    UnreadInput.OTHER_BYTES: CloseReason.UNSOLICITED_BYTES,
+}
 
 
 class PoolKey(NamedTuple):
@@ -20,6 +26,10 @@
     """None while no endpoint list names the endpoint; no connections to it exist then."""
 
 
+ClosedCallback = Callable[[PoolKey, Connection, CloseReason], None]
+"""Called for each connection that the pool has closed."""
+
+
 class ConnectionPool:
     """Holds the idle connections."""
 
@@ -33,15 +43,25 @@
         # Connections of each key, the longest idle first; a key without connections is removed.
         self.idle: dict[PoolKey, deque[Connection]] = {}
         self.count = 0
+        self.on_closed: ClosedCallback = lambda key, connection, reason: None
+        """Set by the owner of the calls."""
+
+    def acquire(self, key: PoolKey, min_idle_ms: float = 0.0) -> Connection | None:
+        """Remove and return the longest idle connection that is still usable; None if there is none.
 
-    def acquire(self, key: PoolKey) -> Connection | None:
-        """Remove and return the most recently used connection that is still usable; None if there is none."""
+        A connection is usable if it has been idle for `min_idle_ms` and nothing has arrived on it since.
+        """
+        # After an unsolicited response no other connection is returned: the next one may have had one too.
         self.close_expired()
-        while key in self.idle:
-            connection = self._remove_newest(key)
-            if connection.has_nothing_to_read():
+        idle_since = self.clock() - min_idle_ms
+        while key in self.idle and self._oldest_idle_since(key) <= idle_since:
+            connection = self._remove_oldest(key)
+            unread_input = connection.unread_input()
+            if unread_input is UnreadInput.NOTHING:
                 return connection
-            connection.close()
+            self.close(key, connection, CloseReason.CLOSED_BY_ENDPOINT)
+            if unread_input is UnreadInput.RESPONSE:
+                return None
         return None
 
     def release(self, key: PoolKey, connection: Connection) -> None:
@@ -51,12 +71,25 @@
         self.count += 1
         self.close_expired()
         while self.count > self.max_connections:
-            self._close_oldest(min(self.idle, key=self._oldest_idle_since))
+            self._close_newest(max(self.idle, key=lambda key: len(self.idle[key])))
+
+    def close(self, key: PoolKey, connection: Connection, reason: CloseReason) -> None:
+        """Close a connection that is not in the pool.
+
+        The reported reason is `reason`, unless unsolicited bytes have arrived.
+        """
+        reason = _REASON_BY_UNREAD_INPUT.get(connection.unread_input(), reason)
+        connection.close()
+        self.on_closed(key, connection, reason)
+
+    def idle_count(self, key: PoolKey) -> int:
+        """Return how many idle connections a key has."""
+        return len(self.idle.get(key, ()))
 
     def close_idle(self, key: PoolKey) -> None:
         """Close the idle connections of one key."""
         while key in self.idle:
-            self._close_oldest(key)
+            self.close(key, self._remove_oldest(key), CloseReason.IDLE)
 
     def close_all(self) -> None:
         """Close all idle connections."""
@@ -69,22 +102,23 @@
         expired_since = self.clock() - self.max_idle_ms
         for key in list(self.idle):
             while key in self.idle and self._oldest_idle_since(key) <= expired_since:
-                self._close_oldest(key)
+                self.close(key, self._remove_oldest(key), CloseReason.IDLE)
 
     def _oldest_idle_since(self, key: PoolKey) -> float:
         idle_since = self.idle[key][0].idle_since
         assert idle_since is not None  # set by release
         return idle_since
 
-    def _remove_newest(self, key: PoolKey) -> Connection:
-        connection = self.idle[key].pop()
+    def _remove_oldest(self, key: PoolKey) -> Connection:
+        connection = self.idle[key].popleft()
         self._record_removal(key)
         return connection
 
-    def _close_oldest(self, key: PoolKey) -> None:
-        connection = self.idle[key].popleft()
+    def _close_newest(self, key: PoolKey) -> None:
+        # The newest connection is the last one that may be used again.
+        connection = self.idle[key].pop()
         self._record_removal(key)
-        connection.close()
+        self.close(key, connection, CloseReason.TOO_MANY)
 
     def _record_removal(self, key: PoolKey) -> None:
         self.count -= 1
--- a/swiftthread/routing/router.py
+++ b/swiftthread/routing/router.py
@@ -16,6 +16,7 @@
 from swiftthread.routing import retry_rules
 from swiftthread.routing.admission import PendingCapacity, TenantQuotas, queue_drain_time_ms
 from swiftthread.routing.call_slots import CallSlots
+from swiftthread.routing.connection_reuse import ConnectionReuse
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.endpoint_list import EndpointList
 from swiftthread.routing.events import Call, Destination, Event, GroupId
@@ -72,6 +73,7 @@
         self.health = HealthTracker(settings, self.endpoint_list, self.recovery, self.jitter, self.observer)
         self.health_checks = HealthChecks(settings, self.health, self.recovery)
         self.idle_connections = IdleConnections(settings)
+        self.connection_reuse = ConnectionReuse()
         self.selector = EndpointSelector(
             self.slots, self.recovery, self.health_checks, self.timeouts, self.urgency
         )
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -118,6 +118,8 @@
             connect_timeout_ms=self._limits.connect_timeout_ms,
             report_fields=self._config.report_fields,
             send_deadline=self._router.send_deadline,
+            reuse=self._router.connection_reuse,
+            observer=self._activity,
         )
 
     def _build_notifier(self) -> ResultNotifier:
--- a/tests/client/test_health_check.py
+++ b/tests/client/test_health_check.py
@@ -6,9 +6,11 @@
 from swiftthread.client.endpoint_client import EndpointClient
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.connection_pool import ConnectionPool
+from swiftthread.routing.connection_reuse import ConnectionReuse
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.events import Destination
 from swiftthread.routing.messages import SendOutcome
+from swiftthread.service.activity import Activity
 
 
 def health_outcome(address_changes):
@@ -34,6 +36,8 @@
             connect_timeout_ms=1500.0,
             report_fields=(),
             send_deadline=None,
+            reuse=ConnectionReuse(),
+            observer=Activity(),
         )
         result = await client.check_health(Endpoint("a", 0, Destination(0), 0))
         pool.close_all()
