A health check opens its own connection and closes it

What callers would see: an endpoint that rejects is held to be up, or an event is taken for delivered: a health check took its connection from the pool of calls and gave it back, so a copy of either's 200 ended the other. The new test (a copy of the first check's 200 comes when the second is rejected) failed before: acked in place of rate limited.

--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -10,7 +10,7 @@
 
 from swiftthread.client.batch import Batch
 from swiftthread.client.endpoint_call import Clock, EndpointCall, SendDeadline
-from swiftthread.client.endpoint_connections import CallEnding, EndpointConnections
+from swiftthread.client.endpoint_connections import EndpointConnections
 from swiftthread.client.endpoint_request import HOST_HEADER
 from swiftthread.client.endpoint_response import parse_load_report, read_results
 from swiftthread.client.http_exchange import HttpRequest, HttpResponse, exchange
@@ -120,14 +120,14 @@
         outcome = SendOutcome.TIMED_OUT
         try:
             with anyio.move_on_after(self.connect_timeout_ms / 1000.0) as deadline_scope:
-                connection = await self.connections.acquire(key, ())
+                connection = await self.connections.open(key)
                 await exchange(connection, request, response, deadline_scope)
         except ConnectionClosed:
             outcome = SendOutcome.UNREACHABLE
         except Exception:  # keeps the node running: the health check counts as one without a response
             logger.exception("endpoint {}, address {}: a health check failed; it counts as timed out", *key)
         finally:
-            self.connections.release(key, connection, response, CallEnding.ACKED)
+            self.connections.close_checked(key, connection)
         # If the endpoint's address has changed meanwhile, another endpoint may have sent the response.
         if response.first_line_status is not None and self.connections.key_of(endpoint) == key:
             outcome = _OUTCOME_BY_HEALTH_STATUS.get(response.first_line_status, SendOutcome.FAILED)
--- a/swiftthread/client/endpoint_connections.py
+++ b/swiftthread/client/endpoint_connections.py
@@ -104,6 +104,13 @@
         else:
             self.pool.close(key, connection, _reason_after(response, ending))
 
+    def close_checked(self, key: PoolKey, connection: Connection | None) -> None:
+        """Close the connection of a health check."""
+        # It is opened for the check alone: no response to a call can be taken for one to a health check, nor
+        # the other way round.
+        if connection is not None:
+            self.pool.close(key, connection, CloseReason.HEALTH_CHECK)
+
     def _may_hold(self, key: PoolKey) -> bool:
         # While the endpoint is not trusted, one idle connection is held to see whether a response arrives.
         return self.reuse.is_trusted(key.endpoint_id, self.pool.clock()) or not self.pool.idle_count(key)
--- a/tests/client/test_health_check.py
+++ b/tests/client/test_health_check.py
@@ -1,7 +1,10 @@
 """Health checks of endpoints."""
 
+import threading
+
 import anyio
-from support.fake_servers import FakeHttpServer
+import pytest
+from support.fake_servers import FakeHttpServer, send_if_open
 
 from swiftthread.client.endpoint_client import EndpointClient
 from swiftthread.network.buffer_pool import BufferPool
@@ -12,40 +15,59 @@
 from swiftthread.routing.messages import SendOutcome
 from swiftthread.service.activity import Activity
 
+REST_MS = 500.0
 
-def health_outcome(address_changes):
-    """Returns the outcome of a health check during which the endpoint's address may change."""
-    addresses = {}
 
-    def respond(method, target, headers, body):
-        if address_changes:
-            addresses["a"] = ("127.0.0.1", 1)
-        return 200, [], b""
+class ClientOfOneEndpoint:
+    """An endpoint client, its clock, and the server at the endpoint's address."""
 
-    async def check():
-        host, port = FakeHttpServer(respond).address.split(":")
-        addresses["a"] = (host, int(port))
-        pool = ConnectionPool(lambda: 0.0, 1000.0, 4)
-        client = EndpointClient(
+    def __init__(self, respond):
+        self.now = 0.0
+        self.server = FakeHttpServer(respond)
+        host, port = self.server.address.split(":")
+        self.addresses = {"a": (host, int(port))}
+        self.pool = ConnectionPool(lambda: self.now, 1000.0, 4)
+        self.client = EndpointClient(
             tasks=None,
-            connections=pool,
+            connections=self.pool,
             buffers=BufferPool(),
-            clock=lambda: 0.0,
-            log_clock=lambda: 0.0,
-            addresses=addresses,
+            clock=lambda: self.now,
+            log_clock=lambda: self.now,
+            addresses=self.addresses,
             connect_timeout_ms=1500.0,
             report_fields=(),
             send_deadline=None,
             reuse=ConnectionReuse(),
             observer=Activity(),
         )
-        result = await client.check_health(Endpoint("a", 0, Destination(0), 0))
-        pool.close_all()
-        return result.outcome
 
-    return anyio.run(check)
+    def check_health(self):
+        """Returns the outcome of a health check after a rest of all connections."""
+        self.now += REST_MS
+        return anyio.run(self.client.check_health, Endpoint("a", 0, Destination(0), 0)).outcome
+
+
+@pytest.mark.parametrize("address_changes, expected", [(False, "acked"), (True, "timed out")])
+def test_a_response_from_a_previous_address_is_ignored(address_changes, expected):
+    def respond(method, target, headers, body):
+        if address_changes:
+            client.addresses["a"] = ("127.0.0.1", 1)
+        return 200, [], b""
 
+    client = ClientOfOneEndpoint(respond)
+    assert client.check_health() == expected
+
+
+def test_a_copy_of_an_earlier_response_does_not_end_a_health_check():
+    def respond(*_request):
+        if checked.is_set():
+            send_if_open(client.server.conns[0], b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return 503, [], b""
+        checked.set()
+        return 200, [], b""
 
-def test_a_response_from_a_previous_address_is_ignored():
-    assert health_outcome(address_changes=False) == SendOutcome.ACKED
-    assert health_outcome(address_changes=True) == SendOutcome.TIMED_OUT
+    checked = threading.Event()
+    client = ClientOfOneEndpoint(respond)
+    assert client.check_health() == SendOutcome.ACKED
+    assert client.check_health() == SendOutcome.RATE_LIMITED
+    assert client.server.accepted == 2 and not client.pool.count
