Each notification request is posted on a connection of its own

What callers would see: a lost event, given up without a notice: the notifier posted one request after the other on one connection, and a copy of discovery's 204 acknowledged the next request, which had failed. The new test (a copy of the first 204 comes before the 500 to the second request) failed before: the second notification never arrived. A connection to the agent on the own machine costs nothing that counts, and requests hold up to 200 notifications.

--- a/swiftthread/client/result_notifier.py
+++ b/swiftthread/client/result_notifier.py
@@ -32,7 +32,9 @@
 
 
 class ResultNotifier:
-    """Posts notifications to discovery's address over one connection, which is reused."""
+    """Posts notifications to discovery's address, each request on a connection of its own."""
+
+    # On a reused one a late copy of an acknowledgement would acknowledge a request that failed.
 
     def __init__(
         self,
@@ -48,8 +50,6 @@
         self.pending: dict[str, PendingNotification] = {}  # by event id, until acknowledged
         self.has_pending = anyio.Event()
         self.post_scope = anyio.CancelScope()
-        self.connection: Connection | None = None
-        self.connected_to: tuple[str, int] | None = None
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Set the address after discovery has moved."""
@@ -71,27 +71,24 @@
 
     async def run(self) -> None:
         """Post pending notifications, up to MAX_LINES_PER_REQUEST in one request, until cancelled."""
-        try:
-            while True:
-                if not self.pending:
-                    self.has_pending = anyio.Event()
-                    await self.has_pending.wait()
-                batch = dict(list(self.pending.items())[:MAX_LINES_PER_REQUEST])
-                if await self._post(batch.values()):
-                    for event_id, notification in batch.items():
-                        del self.pending[event_id]
-                        notification.acknowledged.set()
-                else:
-                    host, port = self.address
-                    logger.warning(
-                        "discovery {}:{}: notifications are not acknowledged; {} wait to be posted again",
-                        host,
-                        port,
-                        len(self.pending),
-                    )
-                    await anyio.sleep(self.retry_pause_ms / 1000.0)
-        finally:
-            self._close()
+        while True:
+            if not self.pending:
+                self.has_pending = anyio.Event()
+                await self.has_pending.wait()
+            batch = dict(list(self.pending.items())[:MAX_LINES_PER_REQUEST])
+            if await self._post(batch.values()):
+                for event_id, notification in batch.items():
+                    del self.pending[event_id]
+                    notification.acknowledged.set()
+            else:
+                host, port = self.address
+                logger.warning(
+                    "discovery {}:{}: notifications are not acknowledged; {} wait to be posted again",
+                    host,
+                    port,
+                    len(self.pending),
+                )
+                await anyio.sleep(self.retry_pause_ms / 1000.0)
 
     async def _post(self, batch: Collection[PendingNotification]) -> bool:
         # Post notifications and return whether they are acknowledged.
@@ -99,29 +96,17 @@
         request = HttpRequest("POST", "/status", [("Host", "discovery")], body)
         response = HttpResponse()
         address = self.address
-        self._close_unless_usable(address)
+        connection: Connection | None = None
         try:
             with anyio.move_on_after(self.response_timeout_ms / 1000.0) as self.post_scope:
-                if self.connection is None:
-                    self.connection = await connect(address, self.buffers, client_parser())
-                    self.connected_to = address
-                await exchange(self.connection, request, response, self.post_scope)
+                connection = await connect(address, self.buffers, client_parser())
+                await exchange(connection, request, response, self.post_scope)
         except ConnectionClosed:
             pass
         except Exception:  # keeps the node running: they are posted again on another connection
             logger.exception("discovery {}:{}: posting notifications failed; they are posted again", *address)
             response = HttpResponse()
-        if self.connection is not None and not response.allows_reuse(self.connection):
-            self._close()
+        finally:
+            if connection is not None:
+                connection.close()
         return response.is_complete and response.status == STATUS_ACKNOWLEDGED
-
-    def _close_unless_usable(self, address: tuple[str, int]) -> None:
-        if self.connection is None:
-            return
-        if self.connected_to != address or not self.connection.has_nothing_to_read():
-            self._close()
-
-    def _close(self) -> None:
-        if self.connection is not None:
-            self.connection.close()
-            self.connection = None
