A list document that comes twice or late undoes no later change

What callers would see: events sent to an endpoint that drains, at an old address or rate: EndpointList.apply_document applied each line of the watch as the newest. Version 41 SERVING, 43 DRAINING and the line of 41 once more made the endpoint SERVING and the version 41. Change: an entry is applied only if no later document has changed that endpoint; deleted ones are remembered for the last 1,024 changes. The complete list that a watch begins with is applied whatever its version (another discovery may count anew); a watch that begins with an older change, or an unknown older complete list within a watch, makes the node request the complete list. Test: of the five orders of documents four failed before.

--- a/swiftthread/client/discovery_client.py
+++ b/swiftthread/client/discovery_client.py
@@ -66,12 +66,12 @@
         # The current watch is cancelled, and the next one requests the complete list at the new address.
         if address != self.address:
             self.address = address
-            self.endpoint_list.version = 0
+            self.endpoint_list.expect_complete_list()
             self.watch_scope.cancel()
 
-    def apply_list(self, document: Any) -> EndpointListUpdate:
+    def apply_list(self, document: Any, is_first_of_watch: bool = False) -> EndpointListUpdate:
         """Apply a list document from discovery; see `EndpointList.apply_document`."""
-        return self.endpoint_list.apply_document(document)
+        return self.endpoint_list.apply_document(document, is_first_of_watch)
 
     async def watch(self, on_update: UpdateCallback) -> bool:
         """Open a watch and pass each update to `on_update`, until the watch ends, times out or fails.
@@ -96,7 +96,7 @@
                 "discovery {}:{}: the watch was closed or timed out; another one is opened", host, port
             )
         except PARSE_ERRORS as error:
-            self.endpoint_list.version = 0  # which updates were missed is unknown: request the complete list
+            self.endpoint_list.expect_complete_list()  # which updates were missed is unknown
             logger.warning(
                 "discovery {}:{}: the watch cannot be parsed ({}); the complete list is requested",
                 host,
@@ -104,7 +104,7 @@
                 error,
             )
         except Exception:  # keeps the node running: the complete list is requested on another connection
-            self.endpoint_list.version = 0
+            self.endpoint_list.expect_complete_list()
             logger.exception("discovery {}:{}: the watch failed; the complete list is requested", host, port)
         finally:
             if connection is not None:
@@ -121,6 +121,7 @@
         # MalformedEndpointList if a list has an unreadable entry and the complete list is to be requested.
         lines = BodyLineReader(connection)
         assembler = JsonAssembler()
+        is_first = True
         while True:
             document = None
             # The timeout covers a whole document: one that never ends counts as idle, too.
@@ -133,7 +134,8 @@
                 return
             if document is None:
                 continue  # an empty line, sent by discovery as a keep-alive
-            entries, is_complete = self.apply_list(document)
+            entries, is_complete = self.apply_list(document, is_first)
+            is_first = False
             await on_update(entries, is_complete)
             if 0 < self.endpoint_list.consecutive_unreadable_lists <= MAX_CONSECUTIVE_UNREADABLE_LISTS:
                 # The complete list is requested again: it may have a readable entry for this endpoint.
--- a/swiftthread/client/endpoint_list.py
+++ b/swiftthread/client/endpoint_list.py
@@ -20,8 +20,12 @@
 FIRST_UNCONFIGURED_NUMBER = 1 << 16
 
 
+# How many endpoints have a version of their own; the version of the others is that of the complete list.
+MAX_ENTRY_VERSIONS = 1024
+
+
 class MalformedEndpointList(ValueError):
-    """A list document that is not an endpoint list, or that has an entry that cannot be parsed."""
+    """A list document that cannot be used as it is: the complete list is to be requested."""
 
 
 class MalformedEndpointEntry(ValueError):
@@ -50,7 +54,10 @@
         self.kind_numbers = kind_numbers
         self.zone_numbers = zone_numbers
         self.version = 0
-        """Version of the last list document; 0 if the complete list is to be requested."""
+        """Highest version of the list documents; 0 if the complete list is to be requested."""
+        self.entry_versions: dict[str | int, int] = {}
+        """Versions of the last changes, by endpoint id, the oldest first; deleted endpoints are included."""
+        self._oldest_version = 0  # the version of all other endpoints
         self.addresses: dict[str | int, Address] = {}
         """Addresses as (host, port), by endpoint id; the mapping is updated in place."""
         self.consecutive_unreadable_lists = 0
@@ -59,27 +66,46 @@
         # Numbers of zones that are not in the settings, by name; of endpoints without a zone, by id.
         self._unconfigured_zones: dict[str, int] = {}
 
-    def apply_document(self, document: Any) -> EndpointListUpdate:
-        """Apply a list document from discovery.
+    def expect_complete_list(self) -> None:
+        """Accept any version next: the complete list is requested."""
+        self.version = 0
+        self._oldest_version = 0
+        self.entry_versions.clear()
+
+    def apply_document(self, document: Any, is_first_of_watch: bool = False) -> EndpointListUpdate:
+        """Apply a list document from discovery, except entries that are older than the known ones.
 
         Raises:
-            MalformedEndpointList: The document is not an endpoint list; nothing has been changed.
+            MalformedEndpointList: The document is not an endpoint list, or is older than the known list where
+                it cannot be a repeated document; nothing has been changed.
         """
+        # A watch may repeat a document, or send it late. The complete list that a watch begins with is
+        # applied whatever its version: another discovery may count from the beginning.
         # An entry that cannot be parsed is left out. If its endpoint is known, the update has the last entry
         # of the endpoint instead, marked as not ready.
         raw_entries = _parse_entries(document)
         version = _parse_version(document, default=self.version)
         is_complete = bool(document.get("full"))
+        if version < self.version and not (is_complete and is_first_of_watch):
+            if is_first_of_watch or is_complete and version > self._oldest_version:
+                raise MalformedEndpointList(f"version {version} after version {self.version}")
+            is_complete = False
+            raw_entries = self._without_outdated_entries(raw_entries, version)
         known_entries = dict(self._entries)
         if is_complete:
             self._entries.clear()
             self.addresses.clear()
             self._unconfigured_zones.clear()
+            self.expect_complete_list()
+            self._oldest_version = version
         entries = []
         has_unreadable = False
         for raw_entry in raw_entries:
             try:
-                entries.append(self._apply_entry(raw_entry))
+                entry = self._apply_entry(raw_entry)
+                entries.append(entry)
+                if not is_complete:
+                    self._record_version(entry.endpoint_id, version)
             except PARSE_ERRORS as error:
                 has_unreadable = True
                 logger.warning(
@@ -91,10 +117,34 @@
                 endpoint_id = raw_entry.get("id") if isinstance(raw_entry, dict) else None
                 if isinstance(endpoint_id, str) and endpoint_id in known_entries:
                     entries.append(known_entries[endpoint_id]._replace(is_ready=False))
-        self.version = version
+        self.version = max(self.version, version)
         self.consecutive_unreadable_lists = self.consecutive_unreadable_lists + 1 if has_unreadable else 0
         return EndpointListUpdate(entries, is_complete)
 
+    def _without_outdated_entries(self, raw_entries: list[Any], version: int) -> list[Any]:
+        # Return the entries that no later document has changed.
+        newest = [
+            raw_entry
+            for raw_entry in raw_entries
+            if not isinstance(raw_entry, dict)
+            or version >= self.entry_versions.get(raw_entry.get("id", ""), self._oldest_version)
+        ]
+        logger.info(
+            "discovery: a list of version {} came after version {}; {} of its {} entries are outdated",
+            version,
+            self.version,
+            len(raw_entries) - len(newest),
+            len(raw_entries),
+        )
+        return newest
+
+    def _record_version(self, endpoint_id: str | int, version: int) -> None:
+        self.entry_versions.pop(endpoint_id, None)
+        self.entry_versions[endpoint_id] = version
+        if len(self.entry_versions) > MAX_ENTRY_VERSIONS:
+            oldest_id = next(iter(self.entry_versions))
+            self._oldest_version = max(self._oldest_version, self.entry_versions.pop(oldest_id))
+
     def _apply_entry(self, raw_entry: Any) -> EndpointEntry:
         # Parse the entry of one endpoint; it and the address are stored only if all values can be parsed.
         endpoint_id = _parse_value(raw_entry, "id", _require_string)
--- a/tests/client/test_endpoint_list.py
+++ b/tests/client/test_endpoint_list.py
@@ -4,7 +4,7 @@
 from loguru import logger
 from support.simulated_node import SimulatedNode
 
-from swiftthread.client.endpoint_list import EndpointList, MalformedEndpointList
+from swiftthread.client.endpoint_list import MAX_ENTRY_VERSIONS, EndpointList, MalformedEndpointList
 
 ENTRY = {
     "id": "s-1",
@@ -44,6 +44,66 @@
     assert endpoint_list.version == 3 and set(endpoint_list.addresses) == {"s-1", "s-2"}
 
 
+def ready_endpoint_ids(endpoint_list, *documents):
+    """Applies documents to the list and a router; returns the ids of the endpoints that may be called."""
+    router = SimulatedNode([], stream_types=[]).session.router
+    for document in documents:
+        router.apply_endpoint_list(*endpoint_list.apply_document(document), 0.0)
+    return {endpoint_id for endpoint_id, endpoint in router.endpoints.items() if endpoint.is_ready}
+
+
+FIRST_DRAINS = {"version": 5, "full": False, "servers": [ENTRY | {"state": "DRAINING"}]}
+FIRST_IS_DELETED = {"version": 5, "full": False, "servers": [ENTRY | {"state": "DELETED"}]}
+SECOND_DRAINS = {"version": 4, "full": False, "servers": [ENTRY | {"id": "s-2", "state": "DRAINING"}]}
+FIRST_IS_READY = {"version": 4, "full": False, "servers": [ENTRY]}
+
+
+@pytest.mark.parametrize(
+    "documents, expected",
+    [
+        ([DOCUMENT, FIRST_DRAINS, DOCUMENT], {"s-2"}),
+        ([DOCUMENT, FIRST_IS_READY, FIRST_DRAINS, FIRST_IS_READY], {"s-2"}),
+        ([DOCUMENT, FIRST_IS_DELETED, FIRST_IS_READY], {"s-2"}),
+        ([DOCUMENT, FIRST_DRAINS, SECOND_DRAINS], set()),
+        ([DOCUMENT, FIRST_DRAINS, FIRST_DRAINS], {"s-2"}),
+    ],
+)
+def test_a_document_that_comes_twice_or_late_undoes_no_later_change(endpoint_list, documents, expected):
+    assert ready_endpoint_ids(endpoint_list, *documents) == expected
+    assert endpoint_list.version == 5
+
+
+def test_the_first_complete_list_of_a_watch_is_applied_whatever_its_version(endpoint_list):
+    endpoint_list.apply_document({"version": 2, "full": True, "servers": [ENTRY]}, is_first_of_watch=True)
+    assert endpoint_list.version == 2 and set(endpoint_list.addresses) == {"s-1"}
+    change = {"version": 3, "full": False, "servers": [ENTRY | {"id": "s-4"}]}
+    assert ready_endpoint_ids(endpoint_list, change) == {"s-4"} and endpoint_list.version == 3
+
+
+def test_a_watch_that_begins_with_an_older_change_makes_the_node_request_the_complete_list(endpoint_list):
+    with pytest.raises(MalformedEndpointList):
+        endpoint_list.apply_document({"version": 2, "servers": [ENTRY]}, is_first_of_watch=True)
+    endpoint_list.expect_complete_list()
+    endpoint_list.apply_document({"version": 2, "servers": []}, is_first_of_watch=True)
+    assert endpoint_list.version == 2
+
+
+def test_an_unknown_complete_list_older_than_the_last_change_is_not_applied(endpoint_list):
+    endpoint_list.apply_document(FIRST_DRAINS)
+    with pytest.raises(MalformedEndpointList):
+        endpoint_list.apply_document({"version": 4, "full": True, "servers": [ENTRY]})
+    assert set(endpoint_list.addresses) == {"s-1", "s-2"}
+
+
+def test_versions_of_deleted_endpoints_are_forgotten_after_many_changes(endpoint_list):
+    for number in range(2 * MAX_ENTRY_VERSIONS):
+        entry = ENTRY | {"id": f"e-{number}", "state": "DELETED"}
+        endpoint_list.apply_document({"version": 10 + number, "servers": [entry]})
+    assert len(endpoint_list.entry_versions) == MAX_ENTRY_VERSIONS
+    update = endpoint_list.apply_document({"version": 10, "servers": [ENTRY | {"id": "e-0"}]})
+    assert update.entries == []
+
+
 @pytest.mark.parametrize("full", [False, True])
 @pytest.mark.parametrize(
     "unreadable", [{"addr": "nowhere"}, {"cell": None}, {"weight": "much"}, {"state": None, "addr": 5}]
