--- a/swiftthread/lab/incident.py
+++ b/swiftthread/lab/incident.py
@@ -17,30 +17,6 @@
 NonNegativeCount = Annotated[int, msgspec.Meta(ge=0)]
 
 
-class EndpointFault(StrEnum):
-    """Steps that the emulator applies to endpoints; see `swiftthread.lab.faults` for their effects."""
-
-    REFUSE_CONNECTIONS = "refuse"
-    BECOME_UNRESPONSIVE = "vanish"
-    ERRORS = "errors"
-    RESET_AFTER_REQUEST = "reset_after"
-    TRUNCATE_RESPONSES = "half_answers"
-    WITHHOLD_RESPONSES = "swallow"
-    REJECT = "full"
-    DESTINATION_UNAVAILABLE = "shut"
-    CONNECTIONS_REJECTED = "shut_connections"
-    SLOW_DOWN = "slow"
-    CHANGE_RATE_LIMIT = "limit"
-    PAUSE = "pause"
-    DRAIN = "drain"
-    REMOVE = "gone"
-    JOIN = "join"
-    HEAL = "heal"
-    RESET_BEFORE_REQUEST = "reset_before"
-    SLOW_READ = "slow_read"
-    SLOW_WRITE = "slow_write"
-
-
 class NodeFault(StrEnum):
     """Steps that the runner applies to node processes."""
 
@@ -242,9 +218,9 @@
 
     Attributes:
         at_ms: When the step is applied, in ms since the start of the load.
-        what: The kind of step: a value of `EndpointFault`, `NodeFault`, `DiscoveryFault` or `LoadChange`.
+        what: The kind of step: a value of `FaultKind`, `NodeFault`, `DiscoveryFault` or `LoadChange`.
         on: What the step applies to: `node:NUMBER` for a `NodeFault`, endpoints as described at
-            `Incident.target_endpoints` for an `EndpointFault`.
+            `Incident.target_endpoints` for an `FaultKind`.
         for_ms: The duration of the step; 0 means that an endpoint's fault lasts until it is healed. For
             `kill` and `restart`, the time between the node's exit and its next start; 0 means the default.
         share: The share of calls or connections that are affected.
--- a/swiftthread/lab/incident_file.py
+++ b/swiftthread/lab/incident_file.py
@@ -7,10 +7,10 @@
 
 import msgspec
 
+from swiftthread.lab.faults import FaultKind
 from swiftthread.lab.incident import (
     DiscoveryFault,
     Effect,
-    EndpointFault,
     Incident,
     LoadChange,
     NodeFault,
@@ -20,15 +20,15 @@
 
 INCIDENT_FOLDER = resources.files("swiftthread.lab") / "incidents"
 
-ENDPOINT_FAULTS = frozenset(EndpointFault)
+ENDPOINT_FAULTS = frozenset(FaultKind)
 NODE_FAULTS = frozenset(NodeFault)
-KNOWN_STEPS = frozenset[str]().union(EndpointFault, NodeFault, DiscoveryFault, LoadChange)
+KNOWN_STEPS = frozenset[str]().union(FaultKind, NodeFault, DiscoveryFault, LoadChange)
 # Steps that require a `for_ms`, because only its expiry ends them.
 STEPS_WITH_DURATION = frozenset(
     {
-        EndpointFault.DESTINATION_UNAVAILABLE,
-        EndpointFault.CONNECTIONS_REJECTED,
-        EndpointFault.PAUSE,
+        FaultKind.DESTINATION_UNAVAILABLE,
+        FaultKind.CONNECTIONS_REJECTED,
+        FaultKind.PAUSE,
         NodeFault.FREEZE,
         LoadChange.BURST,
         DiscoveryFault.STOP_RESPONDING,
