The laboratory repeats, delays and splits responses on all links, and soaks nodes

Faults of responses (copies, late, single bytes, 1xx before them, noise or a half close behind them, a rejection before the request is read), of discovery (copies and late lines, notifications that get a 500) and of nodes (SIGHUP, a crowd of idle clients).

--- a/swiftthread/lab/cli/__init__.py
+++ b/swiftthread/lab/cli/__init__.py
@@ -9,7 +9,7 @@
 from swiftthread.lab.cli.folder_commands import judge, report
 from swiftthread.lab.cli.incident_commands import check, list_incidents, show
 from swiftthread.lab.cli.process_commands import clients, emulate, relay
-from swiftthread.lab.cli.run_commands import compare, limits, matrix, run
+from swiftthread.lab.cli.run_commands import compare, limits, matrix, run, soak
 
 
 @click.group()
@@ -33,5 +33,6 @@
     report,
     run,
     show,
+    soak,
 ):
     main.add_command(command)
--- a/swiftthread/lab/cli/run_commands.py
+++ b/swiftthread/lab/cli/run_commands.py
@@ -186,3 +186,26 @@
     results = run_async(capacity.measure, counts, seconds, folder, _show_result_line)
     for line in capacity.format_table(results):
         click.echo(line)
+
+
+@click.command()
+@click.option("--first", default=1, show_default=True, help="The first seed.")
+@click.option("--seeds", default=50, show_default=True, help="Number of consecutive seeds.")
+@click.option("--jobs", default=3, show_default=True, help="Number of concurrent runs.")
+@click.option("--into", type=click.Path(path_type=Path), help="Folder for records and logs.")
+def soak(first: int, seeds: int, jobs: int, into: Path | None) -> None:
+    """Run random incidents, one for each seed, and print the broken rules of each."""
+    from swiftthread.lab import soak as soak_runs
+
+    folder = into or Path(tempfile.mkdtemp(prefix="lab-soak-"))
+    results = run_async(
+        soak_runs.run_seeds,
+        range(first, first + seeds),
+        folder,
+        jobs,
+        lambda result: click.echo(result.describe()),
+    )
+    failed = [result for result in results if result.failures]
+    void = [result for result in results if result.void and not result.failures]
+    click.echo(f"{len(results)} seeds, {len(failed)} failed, {len(void)} void; records: {folder}")
+    sys.exit(EXIT_BROKEN_RULES if failed else 0)
--- a/swiftthread/lab/emulator/calls.py
+++ b/swiftthread/lab/emulator/calls.py
@@ -76,7 +76,7 @@
         is_healthy = not endpoint.failure_shares and not endpoint.is_draining
         destination.record_load(now, HEALTH_CHECK_LOAD_CALLS)
         if not endpoint.is_down():
-            connection.transport.write(encode_response(200 if is_healthy else 503))
+            connection.write_response(encode_response(200 if is_healthy else 503))
 
     def on_call_received(
         self, connection: EndpointConnection, event_ids: list[str], request: HttpRequest
--- a/swiftthread/lab/emulator/discovery.py
+++ b/swiftthread/lab/emulator/discovery.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import json
+import random
 from collections.abc import Callable, Iterable
 from dataclasses import asdict, dataclass
 
+from swiftthread.lab.emulator.response_writer import ResponseFaults
+from swiftthread.lab.faults import Fault, FaultKind
 from swiftthread.lab.http_server import HttpRequest, HttpServerConnection, encode_response
 from swiftthread.lab.loopback import address_of, listen
 from swiftthread.lab.outcomes import EndpointState
@@ -45,8 +48,11 @@
     def on_request(self, request: HttpRequest) -> None:
         """Record posted notifications, or respond with the endpoint list or a watch on it."""
         if request.method == "POST" and request.target == "/status":
+            if self._discovery.response_faults.draws(FaultKind.ERRORS):
+                self.transport.write(encode_response(500))
+                return
             self._discovery.on_status_posted(request.body)
-            self.transport.write(encode_response(204))
+            self._discovery.response_faults.write_once_or_twice(self.transport, encode_response(204))
         elif self._discovery.is_unresponsive:
             return
         elif "watch=1" in request.target:
@@ -58,7 +64,8 @@
 
     def write_chunk(self, data: bytes) -> None:
         """Write data to a watch as one chunk of the chunked encoding."""
-        self.transport.write(b"%x\r\n%s\r\n" % (len(data), data))
+        chunk = b"%x\r\n%s\r\n" % (len(data), data)
+        self._discovery.response_faults.write_once_or_twice(self.transport, chunk)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection from the watches if it is one; see `asyncio.Protocol`."""
@@ -74,9 +81,11 @@
         delay_ms: The delay from a change to its announcement. The caller of `apply_changes` waits for it.
         record_writer: Writes a record of each announced state.
         on_notification: Called with each notification that the node posts.
+        rng: The source of the draws of faults.
 
     Attributes:
         address: The listening address as host:port, set by `open`.
+        response_faults: Writes the responses with the injected faults.
         is_unresponsive: Whether list requests get no response, and watches neither changes nor heartbeats.
     """
 
@@ -89,9 +98,12 @@
         delay_ms: float,
         record_writer: RecordWriter,
         on_notification: NotificationHandler,
+        rng: random.Random,
     ) -> None:
         self.delay_ms = delay_ms
         self.is_unresponsive = False
+        self._active_faults: dict[FaultKind, Fault] = {}
+        self.response_faults = ResponseFaults(rng, self._active_faults)
         self._node = node
         self._entries = {entry.id: entry for entry in entries}
         self._version = 1
@@ -130,13 +142,28 @@
             self._entries[entry.id] = entry
         if not self.is_unresponsive:
             line = _encode_line(self._encode_list(changed_entries, is_full=False))
-            for watch in self._watches:
-                watch.write_chunk(line)
-            self._record_states(changed_entries)
+            if self.response_faults.draws(FaultKind.LATE_RESPONSES):
+                delay_s = self.response_faults.delay_s(FaultKind.LATE_RESPONSES)
+                asyncio.get_running_loop().call_later(delay_s, self._send_change, line, changed_entries)
+            else:
+                self._send_change(line, changed_entries)
         for entry in changed_entries:
             if entry.state == EndpointState.DELETED:
                 del self._entries[entry.id]
 
+    def _send_change(self, line: bytes, changed_entries: list[EndpointEntry]) -> None:
+        for watch in self._watches:
+            watch.write_chunk(line)
+        self._record_states(changed_entries)
+
+    def inject(self, kind: FaultKind, fault: Fault) -> None:
+        """Inject a fault into the responses, and end it after its duration if that is not 0."""
+        self._active_faults[kind] = fault
+        if fault.duration_ms:
+            asyncio.get_running_loop().call_later(
+                fault.duration_ms / 1000.0, lambda: self._active_faults.pop(kind, None)
+            )
+
     def _record_states(self, entries: Iterable[EndpointEntry]) -> None:
         for entry in entries:
             self._record_writer.write(
--- a/swiftthread/lab/emulator/emulator.py
+++ b/swiftthread/lab/emulator/emulator.py
@@ -131,7 +131,7 @@
         for node in range(self._incident.fleet.nodes):
             delay_ms = self._incident.rules.list_delay_ms * self._rng.uniform(*DISCOVERY_DELAY_FACTORS)
             discovery = DiscoveryServer(
-                f"n{node}", listed_entries, delay_ms, self._record_writer, self._feed.publish
+                f"n{node}", listed_entries, delay_ms, self._record_writer, self._feed.publish, self._rng
             )
             await discovery.open()
             self._discovery_servers.append(discovery)
--- a/swiftthread/lab/emulator/endpoint_listener.py
+++ b/swiftthread/lab/emulator/endpoint_listener.py
@@ -9,7 +9,8 @@
 from typing import Protocol
 
 from swiftthread.lab.background_tasks import BackgroundTasks
-from swiftthread.lab.faults import FaultKind
+from swiftthread.lab.emulator.response_writer import ResponseFaults
+from swiftthread.lab.faults import Fault, FaultKind
 from swiftthread.lab.http_server import HttpRequest, HttpServerConnection, encode_response
 from swiftthread.lab.loopback import address_of, bind_unused_port
 from swiftthread.lab.receiver_model import ReceiverModel
@@ -82,6 +83,10 @@
         if self.listener.should_inject(FaultKind.RESET_BEFORE_REQUEST):
             self.reset()
             return
+        if self.listener.should_inject(FaultKind.REJECT_EARLY):
+            self.transport.write(encode_response(503, [("Connection", "close")]))
+            self.transport.close()
+            return
         super().data_received(data)
         if self.listener.has_fault(FaultKind.SLOW_READ) and not self.transport.is_closing():
             self._throttle_reading()
@@ -104,7 +109,7 @@
         if self.listener.has_fault(FaultKind.SLOW_WRITE):
             self._write_slowly(data)
         else:
-            self.transport.write(data)
+            self.listener.response_faults.write(self.transport, data)
 
     def _write_slowly(self, data: bytes) -> None:
         if self.transport.is_closing() or not data:
@@ -147,7 +152,8 @@
         call_handler: Handles the requests of the connections.
         address: The listening address as host:port.
         connections: The open connections, in the order in which they were accepted.
-        active_faults: The injected socket faults, with the share of reads or connections that each affects.
+        active_faults: The injected socket faults.
+        response_faults: Writes the responses with the injected faults.
     """
 
     def __init__(
@@ -157,8 +163,8 @@
         self.receivers = receivers
         self.call_handler = call_handler
         self.connections: dict[EndpointConnection, bool] = {}
-        self.active_faults: dict[FaultKind, float] = {}
-        self._rng = rng
+        self.active_faults: dict[FaultKind, Fault] = {}
+        self.response_faults = ResponseFaults(rng, self.active_faults)
         self._backlog_fillers: list[socket.socket] = []
         self._tasks = BackgroundTasks()
         self._loop = asyncio.get_running_loop()
@@ -168,12 +174,11 @@
 
     def has_fault(self, kind: FaultKind) -> bool:
         """Return whether this socket fault is injected, with any share above 0."""
-        return bool(self.active_faults.get(kind))
+        return kind in self.active_faults and self.active_faults[kind].share > 0.0
 
     def should_inject(self, kind: FaultKind) -> bool:
         """Draw whether a socket fault takes effect this time, with the probability of its share."""
-        share = self.active_faults.get(kind, 0.0)
-        return share > 0.0 and self._rng.random() < share
+        return self.response_faults.draws(kind)
 
     def open(self) -> None:
         """Start to listen, unless it listens already."""
--- a/swiftthread/lab/emulator/fault_injector.py
+++ b/swiftthread/lab/emulator/fault_injector.py
@@ -8,7 +8,7 @@
 from swiftthread.lab.emulator.discovery import DiscoveryServer, EndpointEntry
 from swiftthread.lab.emulator.endpoint_listener import EndpointListener
 from swiftthread.lab.faults import SELF_EXPIRING_FAULTS, SOCKET_FAULTS, Fault, FaultKind
-from swiftthread.lab.incident import Incident, Step
+from swiftthread.lab.incident import DiscoveryFault, Incident, Step
 from swiftthread.lab.outcomes import DestinationChange, EndpointState
 from swiftthread.lab.receiver_model import ReceiverModel
 from swiftthread.lab.run_records import DestinationChanged, RecordWriter, monotonic_ms
@@ -16,6 +16,13 @@
 DISCOVERY_UNRESPONSIVE_STEP = "discovery_silent"  # Requests for the endpoint list get no response.
 DISCOVERY_DISCONNECT_STEP = "discovery_cut"  # The watches are aborted.
 
+DISCOVERY_RESPONSE_FAULTS: dict[str, FaultKind] = {
+    DiscoveryFault.REPEAT_RESPONSES: FaultKind.REPEAT_RESPONSES,
+    DiscoveryFault.LATE_LINES: FaultKind.LATE_RESPONSES,
+    DiscoveryFault.NOTIFICATIONS_FAIL: FaultKind.ERRORS,
+}
+"""The steps of discovery that concern its responses, with the kind of fault."""
+
 ENDPOINT_FAULT_KINDS = frozenset(FaultKind)
 STATE_BY_FAULT = {
     FaultKind.DRAIN: EndpointState.DRAINING,
@@ -70,6 +77,9 @@
         elif step.what == DISCOVERY_DISCONNECT_STEP:
             for discovery in self._discovery_servers:
                 discovery.drop_watches()
+        elif step.what in DISCOVERY_RESPONSE_FAULTS:
+            for discovery in self._discovery_servers:
+                discovery.inject(DISCOVERY_RESPONSE_FAULTS[step.what], _fault_of(step))
         elif step.what in ENDPOINT_FAULT_KINDS:
             self._inject(_fault_of(step), self._incident.target_endpoints(step.on))
         # The remaining steps change the load or the nodes, and are applied by other processes.
@@ -88,7 +98,7 @@
         listeners = [self._listeners[name] for name in endpoint_names]
         if fault.kind in SOCKET_FAULTS:
             for listener in listeners:
-                listener.active_faults[fault.kind] = fault.share
+                listener.active_faults[fault.kind] = fault
             return
         endpoints = [listener.endpoint for listener in listeners]
         destinations = dict.fromkeys(endpoint.destination for endpoint in endpoints)
@@ -122,11 +132,12 @@
 
 def _fault_of(step: Step) -> Fault:
     return Fault(
-        kind=FaultKind(step.what),
+        kind=DISCOVERY_RESPONSE_FAULTS.get(step.what) or FaultKind(step.what),
         share=step.share,
         sends_retry_after=step.wait_ms > 0.0,
         factor=step.factor,
         duration_ms=step.for_ms,
+        max_delay_ms=step.wait_ms,
     )
 
 
--- a/swiftthread/lab/faults.py
+++ b/swiftthread/lab/faults.py
@@ -45,9 +45,36 @@
     """Requests are read slowly, in small chunks."""
     SLOW_WRITE = "slow_write"
     """Responses are written slowly, in small chunks."""
+    REPEAT_RESPONSES = "copies"
+    """A share of the responses is written a second time, after a random delay."""
+    LATE_RESPONSES = "late"
+    """A share of the responses is written after a random delay."""
+    SPLIT_RESPONSES = "split"
+    """A share of the responses is written in single bytes."""
+    INTERIM_RESPONSES = "interim"
+    """A share of the responses follows one with the status 103."""
+    NOISE_AFTER_RESPONSES = "noise"
+    """A share of the responses is followed by random bytes, after a random delay."""
+    HALF_CLOSE = "half_close"
+    """After a share of the responses the endpoint shuts down its sending side, after a random delay."""
+    REJECT_EARLY = "early"
+    """A share of the calls is rejected with 503 before the request was read, and the connection closed."""
 
 
-SOCKET_FAULTS = frozenset({FaultKind.RESET_BEFORE_REQUEST, FaultKind.SLOW_READ, FaultKind.SLOW_WRITE})
+SOCKET_FAULTS = frozenset(
+    {
+        FaultKind.RESET_BEFORE_REQUEST,
+        FaultKind.SLOW_READ,
+        FaultKind.SLOW_WRITE,
+        FaultKind.REPEAT_RESPONSES,
+        FaultKind.LATE_RESPONSES,
+        FaultKind.SPLIT_RESPONSES,
+        FaultKind.INTERIM_RESPONSES,
+        FaultKind.NOISE_AFTER_RESPONSES,
+        FaultKind.HALF_CLOSE,
+        FaultKind.REJECT_EARLY,
+    }
+)
 """Faults that affect only connections and are not part of the receiver model."""
 
 SELF_EXPIRING_FAULTS = frozenset(
@@ -66,6 +93,7 @@
         sends_retry_after: Whether calls that `DESTINATION_UNAVAILABLE` rejects get a Retry-After.
         factor: The factor that service times or the rate limit are multiplied by.
         duration_ms: How long it lasts; 0 means until it is healed.
+        max_delay_ms: The longest random delay of a fault that has one.
     """
 
     kind: FaultKind
@@ -73,3 +101,4 @@
     sends_retry_after: bool = False
     factor: float = 1.0
     duration_ms: float = 0.0
+    max_delay_ms: float = 0.0
--- a/swiftthread/lab/incident.py
+++ b/swiftthread/lab/incident.py
@@ -26,6 +26,10 @@
     """The process gets SIGTERM, and is started again later."""
     FREEZE = "freeze"
     """The process is suspended by SIGSTOP, and resumed by SIGCONT after `for_ms`."""
+    RELOAD = "reload"
+    """The process gets SIGHUP; its configuration is the same as before."""
+    CROWD = "idle_clients"
+    """Clients open connections that stay idle for `for_ms`, until the node closes them."""
 
 
 class DiscoveryFault(StrEnum):
@@ -35,6 +39,12 @@
     """Requests for the endpoint list get no response, and no changes are sent, for `for_ms`."""
     ABORT_WATCHES = "discovery_cut"
     """The connections of all discovery watches are aborted."""
+    REPEAT_RESPONSES = "discovery_copies"
+    """A share of the lines of watches and of the responses to notifications is written a second time."""
+    LATE_LINES = "discovery_late"
+    """A share of the changes is sent after a random delay, so that later ones may come before them."""
+    NOTIFICATIONS_FAIL = "notices_fail"
+    """A share of the posted notifications gets a 500 and is not recorded."""
 
 
 class LoadChange(StrEnum):
@@ -225,7 +235,8 @@
             `kill` and `restart`, the time between the node's exit and its next start; 0 means the default.
         share: The share of calls or connections that are affected.
         wait_ms: If it is not 0, the calls that a `shut` step rejects get a Retry-After with the remaining
-            duration of the step. The value is not used otherwise.
+            duration of the step. For steps with a random delay it is the longest one. The value is not used
+            otherwise.
         factor: The factor that service times, the rate limit or the arrival rate are multiplied by.
     """
 
--- a/swiftthread/lab/runner/nodes.py
+++ b/swiftthread/lab/runner/nodes.py
@@ -1,5 +1,6 @@
 """Node processes of a run: their configuration, start, restarts and stop."""
 
+import contextlib
 import json
 import os
 import shlex
@@ -35,6 +36,8 @@
 # Prefix that marks a node as an arbitrary command.
 COMMAND_PREFIX = "exec:"
 BYTES_PER_MIB = 2**20
+# Idle connections of a crowd: more than a node with the usual limit of descriptors can hold.
+IDLE_CLIENTS = 300
 
 
 class NodeKind(StrEnum):
@@ -211,6 +214,12 @@
         if step.what == NodeFault.FREEZE:
             await self._freeze(step.for_ms)
             return
+        if step.what == NodeFault.RELOAD:
+            self._send_signal(signal.SIGHUP)
+            return
+        if step.what == NodeFault.CROWD:
+            await self._hold_idle_clients(step.for_ms)
+            return
         self.accumulate_cpu_time()
         if step.what == NodeFault.KILL:
             self._record_state(NodeState.KILLED)
@@ -221,10 +230,21 @@
         await self.start()
 
     async def _freeze(self, duration_ms: float) -> None:
-        pid = self._current_process().popen.pid
-        os.kill(pid, signal.SIGSTOP)
+        self._send_signal(signal.SIGSTOP)
         await anyio.sleep(duration_ms / 1000.0)
-        os.kill(pid, signal.SIGCONT)
+        self._send_signal(signal.SIGCONT)
+
+    def _send_signal(self, number: signal.Signals) -> None:
+        # Another step may have stopped the process; `Popen.send_signal` does nothing then.
+        self._current_process().popen.send_signal(number)
+
+    async def _hold_idle_clients(self, duration_ms: float) -> None:
+        with contextlib.ExitStack() as connections:
+            for _ in range(IDLE_CLIENTS):
+                connection = connections.enter_context(socket.socket())
+                connection.setblocking(False)
+                connection.connect_ex(self.address)
+            await anyio.sleep(duration_ms / 1000.0)
 
     def accumulate_cpu_time(self) -> None:
         """Add the CPU time of the current process to `cpu_ms`; to be called before the process is stopped."""
