--- a/tests/lab/test_referee.py
+++ b/tests/lab/test_referee.py
@@ -301,6 +301,17 @@
     assert recorded.notify("a", 10_400.0).broken_rules() == []
 
 
+@pytest.mark.parametrize("notified_at, rules", [(5299.0, []), (5301.0, ["logged", "one end"])])
+def test_a_restart_before_it_does_not_shorten_the_time_for_an_outcome(notified_at, rules):
+    recorded = (
+        RecordedRun()
+        .submit("a")
+        .add(NodeLifecycleChanged(3000.0, "n0", "killed"), NodeLifecycleChanged(3600.0, "n0", "ready"))
+        .notify("a", notified_at)
+    )
+    assert recorded.broken_rules() == rules
+
+
 @pytest.mark.parametrize(
     "delay_ms, utility", [(0.0, 1.0), (1500.0, 1.0), (3250.0, 0.75), (5000.0, 0.5), (5000.1, 0.0)]
 )
