--- a/swiftthread/lab/emulator/discovery.py
+++ b/swiftthread/lab/emulator/discovery.py
@@ -48,7 +48,7 @@
     def on_request(self, request: HttpRequest) -> None:
         """Record posted notifications, or respond with the endpoint list or a watch on it."""
         if request.method == "POST" and request.target == "/status":
-            if self._discovery.response_faults.draws(FaultKind.ERRORS):
+            if self._discovery.should_fail_post():
                 self.transport.write(encode_response(500))
                 return
             self._discovery.on_status_posted(request.body)
@@ -104,6 +104,7 @@
         self.is_unresponsive = False
         self._active_faults: dict[FaultKind, Fault] = {}
         self.response_faults = ResponseFaults(rng, self._active_faults)
+        self._has_failed_post = False
         self._node = node
         self._entries = {entry.id: entry for entry in entries}
         self._version = 1
@@ -170,6 +171,11 @@
                 EndpointStateAnnounced(monotonic_ms(), self._node, entry.id, entry.state)
             )
 
+    def should_fail_post(self) -> bool:
+        """Return whether a post of notifications gets a 500; never twice in a row."""
+        self._has_failed_post = not self._has_failed_post and self.response_faults.draws(FaultKind.ERRORS)
+        return self._has_failed_post
+
     def on_status_posted(self, body: bytes) -> None:
         """Pass on the notifications in a request body, one JSON object per line."""
         for line in body.splitlines():
--- a/swiftthread/lab/incident.py
+++ b/swiftthread/lab/incident.py
@@ -44,7 +44,7 @@
     LATE_LINES = "discovery_late"
     """A share of the changes is sent after a random delay, so that later ones may come before them."""
     NOTIFICATIONS_FAIL = "notices_fail"
-    """A share of the posted notifications gets a 500 and is not recorded."""
+    """A share of the posts of notifications gets a 500 and is not recorded, but never two in a row."""
 
 
 class LoadChange(StrEnum):
