One call per connection: no response can end another call

What callers see: events lost, run twice or sent outside their group, if a response comes twice or late.

Change: each call and each health check opens a connection and closes it; the pool, the rest and the time of distrust are gone. A second response behind the first is counted and logged by endpoint, closed connections by what had arrived on them. A 503 that closes its connection is always one to the first call on it. The simulator identifies results by their ids and keeps its idle connections (Router.reuses_connections). Clients may use as many sockets as before; the quarter that idle connections had stays free.

Tests of the pool went with it; test_each_call_has_a_connection_of_its_own asserts the new rule for each effect at each of ten calls.

--- a/swiftthread/client/endpoint_call.py
+++ b/swiftthread/client/endpoint_call.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import anyio
 from loguru import logger
 
 from swiftthread.client.batch import Batch, BatchedSend
-from swiftthread.client.endpoint_connections import CallEnding, EndpointConnections
+from swiftthread.client.endpoint_connections import EndpointConnections
 from swiftthread.client.endpoint_request import build_send_request
-from swiftthread.client.endpoint_response import CompletedCall, names_other_events
+from swiftthread.client.endpoint_response import CompletedCall
 from swiftthread.client.http_exchange import HttpResponse, encode_request, receive
 from swiftthread.client.send_result import SendResult
 from swiftthread.network.connection import Connection, ConnectionClosed
@@ -45,11 +45,10 @@
         "send_deadline",
         "started_at",
         "initial_deadlines",
-        "key",
+        "target",
         "connection",
         "response",
         "write_started_at",
-        "is_response_in_doubt",
     )
 
     def __init__(
@@ -70,14 +69,12 @@
             send_deadline(send.pending.router_event, batch.endpoint, self.started_at) for send in batch.sends
         ]
         """The send deadline of each send when the call started, in the order of the batch."""
-        self.key = connections.key_of(batch.endpoint)
+        self.target = connections.address_of(batch.endpoint)
         """The endpoint and its address when the call started."""
         self.connection: Connection | None = None
         self.response = HttpResponse()
         self.write_started_at = 0.0
         """Time right before the first byte was sent."""
-        self.is_response_in_doubt = False
-        """Whether the response may belong to an earlier call on the connection."""
 
     async def run(self) -> CompletedCall:
         """Make the call and return how it ended, apart from what the response says (see `response`)."""
@@ -89,58 +86,17 @@
             is_refused = closed.was_refused
         except Exception:  # keeps the other calls running: this one counts as reset, or as unreachable
             logger.exception(
-                "endpoint {}, address {}: a call failed; it counts as unreachable or reset", *self.key
+                "endpoint {}, address {}: a call failed; it counts as unreachable or reset", *self.target
             )
             outcome = SendOutcome.UNREACHABLE if self.connection is None else SendOutcome.RESET
+        finally:
+            self.connections.close(self.target, self.connection, self.response)
         if outcome == SendOutcome.TIMED_OUT and self.response.has_begun:
             outcome = SendOutcome.RESET  # the endpoint began to respond, but did not finish
-        self.is_response_in_doubt = self._is_response_in_doubt()
-        connection = self.connection
         return CompletedCall(
-            SendOutcome.RESET if self.is_response_in_doubt else outcome,
-            self._latency_ms(is_refused),
-            is_first_on_connection=connection is not None and connection.call_count <= 1,
-            received_at=self.log_clock() - self._response_age_ms(),
-            is_response_in_doubt=self.is_response_in_doubt,
+            outcome, self._latency_ms(is_refused), received_at=self.log_clock() - self._response_age_ms()
         )
 
-    def release(self, results: Sequence[SendResult]) -> None:
-        """Give the connection back after the call.
-
-        Args:
-            results: The result of each send in the batch; empty if the call was cancelled.
-        """
-        ending = CallEnding.NOT_ACKED
-        if self.is_response_in_doubt:
-            ending = CallEnding.IN_DOUBT
-        elif results and all(
-            result.outcome == SendOutcome.ACKED
-            for send, result in zip(self.batch.sends, results, strict=True)
-            if send in self.batch.in_call
-        ):
-            ending = CallEnding.ACKED
-        self.connections.release(self.key, self.connection, self.response, ending)
-
-    def _is_response_in_doubt(self) -> bool:
-        # Returns whether the response may belong to an earlier call on the connection. On a new connection
-        # there is none.
-        connection, response = self.connection, self.response
-        if connection is None or connection.call_count <= 1 or not response.is_complete:
-            return False
-        event_ids = {send.pending.event_id for send in self.batch.in_call}
-        is_in_doubt = response.is_followed_by_response or (
-            len(event_ids) > 1 and response.status == 200 and names_other_events(response, event_ids)
-        )
-        if is_in_doubt:
-            logger.warning(
-                "endpoint {}, address {}: the response to call {} on its connection, with the events {}, "
-                "may belong to another call; the events may have run",
-                *self.key,
-                connection.call_count,
-                ", ".join(sorted(event_ids)),
-            )
-        return is_in_doubt
-
     async def finish_expired_sends(self) -> None:
         """Finish each send whose deadline passes before the first byte of the call is sent, as not sent."""
         sends = sorted(zip(self.initial_deadlines, self.batch.sends, strict=True), key=lambda pair: pair[0])
@@ -156,9 +112,7 @@
         connect_by = self.batch.connect_deadline()
         last_send_deadline = max(self.initial_deadlines)
         with anyio.move_on_after(max(0.0, min(connect_by, last_send_deadline) - self.started_at) / 1000.0):
-            self.connection = await self.connections.acquire(
-                self.key, [send.pending.router_event for send in self.batch.sends]
-            )
+            self.connection = await self.connections.open(self.target)
         if self.connection is None:
             return SendOutcome.NOT_SENT if last_send_deadline < connect_by else SendOutcome.UNREACHABLE
         write_by = self._check_send_deadlines()
@@ -170,7 +124,6 @@
         parts = encode_request(self.connection, request)
         self.write_started_at = self.clock()
         self.connection.received_at = None
-        self.connections.record_call(self.connection)
         return await self._exchange(self.connection, parts, write_by, respond_by)
 
     def _check_send_deadlines(self) -> float:
@@ -184,7 +137,7 @@
         for send in self.batch.unfinished():
             deadline = -math.inf
             # If the endpoint's address has changed, the old one may now belong to another endpoint.
-            if self.connections.key_of(endpoint) == self.key:
+            if self.connections.address_of(endpoint) == self.target:
                 deadline = self.send_deadline(send.pending.router_event, endpoint, now)
             if now < deadline and now < send.times_out_at:
                 write_by = min(write_by, deadline)
--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -19,8 +19,6 @@
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.connection import Connection, ConnectionClosed
 from swiftthread.network.connection_observer import ConnectionObserver
-from swiftthread.network.connection_pool import ConnectionPool
-from swiftthread.routing.connection_reuse import ConnectionReuse
 from swiftthread.routing.messages import Send, SendOutcome
 
 if TYPE_CHECKING:
@@ -42,7 +40,6 @@
     def __init__(
         self,
         tasks: TaskGroup,
-        connections: ConnectionPool,
         buffers: BufferPool,
         clock: Clock,
         log_clock: Clock,
@@ -50,17 +47,13 @@
         connect_timeout_ms: float,
         report_fields: Collection[str],
         send_deadline: SendDeadline,
-        reuse: ConnectionReuse,
         observer: ConnectionObserver,
     ) -> None:
         self.tasks = tasks
         """Task group in which the calls run."""
-        # `connections` is the pool of idle connections, and `buffers` the pool of buffers for reads.
-        # `addresses` has the addresses as (host, port), by endpoint id; their owner updates the mapping in
-        # place. `reuse` decides which connections carry a further call.
-        self.connections = EndpointConnections(
-            connections, buffers, addresses, connect_timeout_ms, reuse, observer
-        )
+        # `buffers` is the pool of buffers for reads. `addresses` has the addresses as (host, port), by
+        # endpoint id; their owner updates the mapping in place.
+        self.connections = EndpointConnections(buffers, addresses, connect_timeout_ms, observer)
         self.clock = clock
         """Returns the monotonic time in ms."""
         self.log_clock = log_clock
@@ -100,13 +93,9 @@
         call = EndpointCall(batch, self.connections, self.clock, self.log_clock, self.send_deadline)
         if len(batch.sends) > 1:
             self.tasks.start_soon(call.finish_expired_sends)
+        completed = await call.run()
         events = [send.pending for send in batch.sends]
-        results: list[SendResult] = []
-        try:
-            completed = await call.run()
-            results = read_results(call.response, completed, events, len(batch.in_call), self.report_fields)
-        finally:
-            call.release(results)
+        results = read_results(call.response, completed, events, len(batch.in_call), self.report_fields)
         for send, result in zip(batch.sends, results, strict=True):
             send.finish(result)
 
@@ -115,25 +104,23 @@
         started_at = self.clock()
         response = HttpResponse()
         connection: Connection | None = None
-        key = self.connections.key_of(endpoint)
+        target = self.connections.address_of(endpoint)
         request = HttpRequest("GET", "/_load" if self.report_fields else "/ping", [HOST_HEADER])
         outcome = SendOutcome.TIMED_OUT
         try:
             with anyio.move_on_after(self.connect_timeout_ms / 1000.0) as deadline_scope:
-                connection = await self.connections.open(key)
+                connection = await self.connections.open(target)
                 await exchange(connection, request, response, deadline_scope)
         except ConnectionClosed:
             outcome = SendOutcome.UNREACHABLE
         except Exception:  # keeps the node running: the health check counts as one without a response
-            logger.exception("endpoint {}, address {}: a health check failed; it counts as timed out", *key)
+            logger.exception(
+                "endpoint {}, address {}: a health check failed; it counts as timed out", *target
+            )
         finally:
-            self.connections.close_checked(key, connection)
+            self.connections.close(target, connection, response)
         # If the endpoint's address has changed meanwhile, another endpoint may have sent the response.
-        if response.first_line_status is not None and self.connections.key_of(endpoint) == key:
+        if response.first_line_status is not None and self.connections.address_of(endpoint) == target:
             outcome = _OUTCOME_BY_HEALTH_STATUS.get(response.first_line_status, SendOutcome.FAILED)
         report = parse_load_report(response.headers, self.report_fields)
         return SendResult(outcome, self.clock() - started_at, load_report=report)
-
-    def close_idle_connections(self, endpoint: Endpoint) -> None:
-        """Close the idle connections to an endpoint."""
-        self.connections.close_idle(endpoint)
--- a/swiftthread/client/endpoint_response.py
+++ b/swiftthread/client/endpoint_response.py
@@ -52,11 +52,8 @@
 
     outcome: SendOutcome
     latency_ms: float
-    is_first_on_connection: bool
     received_at: float
     """When the kernel received the response, in ms on the clock of the write-ahead log."""
-    is_response_in_doubt: bool = False
-    """Whether the response may belong to an earlier call on the connection."""
 
 
 def read_results(
@@ -70,8 +67,6 @@
     # `response` is the response as far as it was received, and `call` is how the call ended apart from the
     # response. `events` has all events of the call's batch, of which `in_call_count` were in the request.
     # `report_fields` has the names of the fields of a load report.
-    if call.is_response_in_doubt:
-        response = HttpResponse()
     retry_after_ms = parse_retry_after_ms(response.headers)
     report = parse_load_report(response.headers, report_fields)
     states: dict[str, EventState] = {}
@@ -82,7 +77,7 @@
         states = _parse_states(response.body)
         outcome = SendOutcome.RESET  # for an event that the response leaves out
     elif response.is_complete:
-        outcome = _outcome_of_error(response, call, has_retry_after=retry_after_ms > 0)
+        outcome = _outcome_of_error(response, has_retry_after=retry_after_ms > 0)
     else:
         outcome = call.outcome
     is_status_gone = (
@@ -100,7 +95,7 @@
     return results
 
 
-def _outcome_of_error(response: HttpResponse, call: CompletedCall, has_retry_after: bool) -> SendOutcome:
+def _outcome_of_error(response: HttpResponse, has_retry_after: bool) -> SendOutcome:
     # Returns the outcome of a complete response with a status other than 200.
     status = response.status
     headers = response.headers
@@ -110,27 +105,13 @@
         return SendOutcome.NOT_EXECUTED
     if status == 503 and headers.get("x-egress-full") == "1":
         return SendOutcome.NOT_EXECUTED
-    if (
-        status == 503
-        and call.is_first_on_connection
-        and not has_retry_after
-        and headers.get("connection", "").lower() == "close"
-    ):
+    if status == 503 and not has_retry_after and headers.get("connection", "").lower() == "close":
         return SendOutcome.CONNECTION_LIMIT  # the connection is rejected, not the event
     if status in _RATE_LIMITED_STATUSES:
         return SendOutcome.RATE_LIMITED
     return SendOutcome.FAILED
 
 
-def names_other_events(response: HttpResponse, event_ids: Collection[str]) -> bool:
-    """Returns whether the response to a call of several events names an event that was not in the call."""
-    try:
-        named_ids = {entry["id"] for entry in json.loads(bytes(response.body))}
-    except PARSE_ERRORS:
-        return False
-    return not named_ids <= set(event_ids)
-
-
 def parse_retry_after_ms(headers: Mapping[str, str]) -> float:
     """Returns the wait in a Retry-After header, in ms; 0 if it is missing or not a positive number."""
     try:
--- a/swiftthread/client/http_exchange.py
+++ b/swiftthread/client/http_exchange.py
@@ -124,20 +124,6 @@
         else:
             raise ConnectionClosed(True)
 
-    def allows_reuse(self, connection: Connection) -> bool:
-        """Prepare the connection for another request; return False if it cannot be reused."""
-        # It can be reused if the response is complete and no other bytes followed it.
-        parser = connection.parser
-        if (
-            not self.is_complete
-            or parser.our_state is not h11.DONE
-            or parser.their_state is not h11.DONE
-            or parser.trailing_data != (b"", False)
-        ):
-            return False
-        parser.start_next_cycle()
-        return True
-
 
 def encode_request(connection: Connection, request: HttpRequest) -> list[bytes]:
     """Returns the bytes of a request, in parts, and marks it as sent in the connection's parser."""
--- a/swiftthread/network/connection.py
+++ b/swiftthread/network/connection.py
@@ -67,11 +67,6 @@
         self.socket = sock
         self.buffers = buffers
         self.parser = parser
-        self.idle_since: float | None = None
-        """When the connection was last released to a pool, on the pool's clock; None until its first
-        release."""
-        self.call_count = 0
-        """How many calls to an endpoint were written on it."""
         self.received_at: float | None = None
         """Monotonic ms at which the kernel received the bytes that were read last; None if the kernel gave no
         timestamp."""
--- a/swiftthread/network/connection_observer.py
+++ b/swiftthread/network/connection_observer.py
@@ -7,32 +7,19 @@
 
 
 class CloseReason(StrEnum):
-    """Why this node closed a connection to an endpoint."""
+    """What had arrived on a connection to an endpoint when this node closed it."""
 
+    COMPLETE_RESPONSE = "after the response"
+    INCOMPLETE_RESPONSE = "incomplete or malformed response"
+    NO_RESPONSE = "no response"
     UNSOLICITED_RESPONSE = "unsolicited response"
-    """A response arrived that belongs to no call."""
+    """A second response came behind the first one."""
     UNSOLICITED_BYTES = "unsolicited bytes"
-    """Bytes arrived that belong to no call and do not begin a response."""
-    CLOSED_BY_ENDPOINT = "closed by the endpoint"
-    IDLE = "idle"
-    TOO_MANY = "too many idle connections"
-    NOT_ACKED = "call not acked"
-    """The response to its last call was incomplete, malformed or not an ack."""
-    NO_RESPONSE = "no response"
-    HEALTH_CHECK = "health check ended"
+    """Bytes that do not begin a response came behind the response."""
 
 
 class ConnectionObserver(Protocol):
     """Is notified about connections to endpoints as they change."""
 
-    def call_written(self, call_number: int) -> None:
-        """Handle a call; `call_number` is 1 for the first call on its connection."""
-
     def connection_closed(self, endpoint_id: str | int, reason: CloseReason) -> None:
         """Handle a connection that this node closed."""
-
-    def unsolicited_response(self, endpoint_id: str | int, call_count: int, is_first: bool) -> None:
-        """Handle a response that belongs to no call, on a connection that had `call_count` calls.
-
-        `is_first` says whether the endpoint's connections were reused until now.
-        """
--- a/swiftthread/routing/router.py
+++ b/swiftthread/routing/router.py
@@ -16,7 +16,6 @@
 from swiftthread.routing import retry_rules
 from swiftthread.routing.admission import PendingCapacity, TenantQuotas, queue_drain_time_ms
 from swiftthread.routing.call_slots import CallSlots
-from swiftthread.routing.connection_reuse import ConnectionReuse
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.endpoint_list import EndpointList
 from swiftthread.routing.events import Call, Destination, Event, GroupId
@@ -54,9 +53,16 @@
 class Router:
     """Makes the decisions of one delivery node; owns the decision modules and calls them in sequence."""
 
-    def __init__(self, settings: Settings, seed: int, observer: RoutingObserver | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        observer: RoutingObserver | None = None,
+        reuses_connections: bool = True,
+    ) -> None:
         # Build a router. The seed is that of the generator for all random draws. The observer is notified of
-        # state changes of endpoints; None stands for no notifications.
+        # state changes of endpoints; None stands for no notifications. `reuses_connections` says whether a
+        # connection of the caller may be idle after a call.
         self.stream_types: list[StreamType] = list(settings.stream_types)
         self.jitter = Jitter(seed)
         self.recovery = RecoveryPacing(settings, self.jitter)
@@ -73,7 +79,7 @@
         self.health = HealthTracker(settings, self.endpoint_list, self.recovery, self.jitter, self.observer)
         self.health_checks = HealthChecks(settings, self.health, self.recovery)
         self.idle_connections = IdleConnections(settings)
-        self.connection_reuse = ConnectionReuse()
+        self.reuses_connections = reuses_connections
         self.selector = EndpointSelector(
             self.slots, self.recovery, self.health_checks, self.timeouts, self.urgency
         )
@@ -399,7 +405,8 @@
         if call.unresolved_count:
             return
         self.slots.release(call.endpoint)
-        self.idle_connections.record_call_ended(call.endpoint)
+        if self.reuses_connections:
+            self.idle_connections.record_call_ended(call.endpoint)
         if outcome in (SendOutcome.NOT_EXECUTED, SendOutcome.NOT_SENT) and not call.is_recorded:
             call.endpoint.rate_limiter.release_slot()  # nothing was executed: the next call may use the slot
 
--- a/swiftthread/service/activity.py
+++ b/swiftthread/service/activity.py
@@ -12,7 +12,6 @@
 from loguru import logger
 
 from swiftthread.network.connection_observer import CloseReason
-from swiftthread.routing.connection_reuse import DISTRUST_MS
 from swiftthread.routing.messages import SendOutcome
 from swiftthread.routing.observer import CallState, EndpointDown, EndpointRecovering
 from swiftthread.service.log_filter import STATE_CHANGE
@@ -48,12 +47,10 @@
         self.acked_count = 0
         self.down_count = 0
         """How many times an endpoint was marked down since the last report."""
-        self.calls_on_connections: Counter[str] = Counter()
-        """Calls by whether they were the first on their connection."""
         self.closed_connections: Counter[CloseReason] = Counter()
-        """Connections to endpoints that this node closed, by reason."""
+        """Connections to endpoints, by what had arrived when this node closed them."""
         self.unsolicited_responses: Counter[str | int] = Counter()
-        """Responses that belong to no call, by endpoint id."""
+        """Second responses behind the response to a call, by endpoint id."""
 
     def endpoint_down(self, change: EndpointDown) -> None:
         """Log that an endpoint was marked down."""
@@ -87,24 +84,14 @@
         """Count a call by the state in which the node holds the endpoint."""
         self.call_states[state] += 1
 
-    def call_written(self, call_number: int) -> None:
-        """Count a call by whether it is the first on its connection."""
-        self.calls_on_connections["on a new connection" if call_number == 1 else "on a reused one"] += 1
-
     def connection_closed(self, endpoint_id: str | int, reason: CloseReason) -> None:
-        """Count a closed connection by its reason."""
+        """Count a closed connection by its reason, and log a response that belongs to no call."""
         self.closed_connections[reason] += 1
-
-    def unsolicited_response(self, endpoint_id: str | int, call_count: int, is_first: bool) -> None:
-        """Count an unsolicited response, and log it if the endpoint's connections were reused until now."""
-        self.unsolicited_responses[endpoint_id] += 1
-        if is_first:
-            logger.bind(**STATE_CHANGE).warning(
-                "endpoint {}: a response that belongs to no call arrived on a connection after {} calls; "
-                "its connections carry one call each until {:.0f} s have passed without another",
+        if reason is CloseReason.UNSOLICITED_RESPONSE:
+            self.unsolicited_responses[endpoint_id] += 1
+            logger.warning(
+                "endpoint {}: a second response came behind the response to a call; it is ignored",
                 endpoint_id,
-                call_count,
-                DISTRUST_MS / 1000.0,
             )
 
     async def report(self) -> None:
@@ -118,13 +105,12 @@
         if self.submissions or self.attempts or self.final_outcomes or self.acked_count:
             logger.bind(**STATE_CHANGE).info(
                 "submissions: {}; attempts: {}; events: {} acked, {}; endpoints marked down: {}; "
-                "calls: {}; connections closed: {}; unsolicited responses: {}; calls by state: {}",
+                "connections closed: {}; unsolicited responses: {}; calls by state: {}",
                 _counts_text(self.submissions),
                 _counts_text(self.attempts),
                 self.acked_count,
                 _counts_text(self.final_outcomes),
                 self.down_count,
-                _counts_text(self.calls_on_connections),
                 _counts_text(self.closed_connections),
                 _counts_text(self.unsolicited_responses),
                 _counts_text(self.call_states),
@@ -135,7 +121,6 @@
         self.final_outcomes.clear()
         self.acked_count = 0
         self.down_count = 0
-        self.calls_on_connections.clear()
         self.closed_connections.clear()
         self.unsolicited_responses.clear()
 
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -13,7 +13,6 @@
 from swiftthread.clocks import Clock, monotonic_ms
 from swiftthread.configuration.node_config import NodeConfig
 from swiftthread.network.buffer_pool import BufferPool
-from swiftthread.network.connection_pool import ConnectionPool
 from swiftthread.routing.router import Router
 from swiftthread.server.http_server import HttpServer
 from swiftthread.service.activity import Activity
@@ -62,17 +61,14 @@
         self._tasks = tasks
         self._buffers = BufferPool()
         self._activity = Activity()
-        self._router = Router(config.settings, config.seed, self._activity)
+        self._router = Router(config.settings, config.seed, self._activity, reuses_connections=False)
         self._scheduler = Scheduler(self._router, monotonic_ms, config.settings.scheduling_interval_ms)
         self._admission = AdmissionController(config.settings.scheduling_interval_ms)
 
     def build(self) -> Node:
         """Build all components and the node itself."""
         discovery = self._build_discovery()
-        connections = ConnectionPool(
-            monotonic_ms, self._limits.max_idle_ms, self._limits.max_idle_connections
-        )
-        endpoint_client = self._build_endpoint_client(connections, discovery)
+        endpoint_client = self._build_endpoint_client(discovery)
         notifier = self._build_notifier()
         delivery = self._build_delivery(endpoint_client, notifier)
         submissions = self._build_submissions(delivery)
@@ -84,7 +80,6 @@
             admission=self._admission,
             log=self._log,
             discovery=discovery,
-            connections=connections,
             endpoint_client=endpoint_client,
             notifier=notifier,
             delivery=delivery,
@@ -105,12 +100,9 @@
             connect_timeout_ms=PLATFORM_RESPONSE_TIMEOUT_MS,
         )
 
-    def _build_endpoint_client(
-        self, connections: ConnectionPool, discovery: DiscoveryClient
-    ) -> EndpointClient:
+    def _build_endpoint_client(self, discovery: DiscoveryClient) -> EndpointClient:
         return EndpointClient(
             tasks=self._tasks,
-            connections=connections,
             buffers=self._buffers,
             clock=monotonic_ms,
             log_clock=self._log_clock,
@@ -118,7 +110,6 @@
             connect_timeout_ms=self._limits.connect_timeout_ms,
             report_fields=self._config.report_fields,
             send_deadline=self._router.send_deadline,
-            reuse=self._router.connection_reuse,
             observer=self._activity,
         )
 
--- a/swiftthread/service/limits.py
+++ b/swiftthread/service/limits.py
@@ -36,20 +36,14 @@
 # Sockets for the event loop, the log, the listener, discovery, notifications, and for connections that are
 # accepted only to be rejected.
 RESERVED_SOCKETS = 32
-# Minimum number of idle connections to endpoints, of client connections, and of idle client connections, even
-# with few sockets.
+# Minimum number of client connections, and of idle client connections, even with few sockets.
 MIN_CONNECTIONS = 4
-# Share of the sockets for idle connections to endpoints.
-IDLE_CONNECTION_SHARE = 0.25
+# Share of the sockets that calls and idle clients do not use, if calls use less than this share.
+FREE_SHARE = 0.25
 # Share of the sockets for idle client connections; clients may use a third in total.
 IDLE_CLIENT_SHARE = 0.125
 # Number of sockets per call slot, if the settings do not limit the calls in flight.
 SOCKETS_PER_DEFAULT_SLOT = 4
-# Share of the endpoints' keep-alive time for which the node retains an idle connection. It is below 1 because
-# an endpoint closes an idle connection at its keep-alive time or before, and the node must close it first.
-KEEPALIVE_TIME_SHARE = 0.8
-# Longest keep-alive time that the node uses.
-MAX_KEEPALIVE_MS = 60000.0
 # Share of the memory for the bodies of pending events. It is enough for them, and leaves the rest to the
 # interpreter.
 PENDING_BODIES_MEMORY_SHARE = 1 / 8
@@ -66,14 +60,8 @@
     """`sockets`, `disk_mb` and `memory_mb` from the configuration; each has a default."""
     max_calls_in_flight: InitVar[float]
     """Maximum number of concurrent calls to endpoints; 0 or inf if not set."""
-    keepalive_ms: InitVar[float]
-    """How long endpoints keep an idle connection open."""
     connect_timeout_setting_ms: InitVar[float]
     """Time-out of a connect to an endpoint; 0 if not set."""
-    max_idle_connections: int = field(init=False)
-    """Maximum number of idle connections to endpoints."""
-    max_idle_ms: float = field(init=False)
-    """How long such a connection may be idle."""
     max_clients: int = field(init=False)
     """Maximum number of client connections."""
     max_idle_clients: int = field(init=False)
@@ -91,7 +79,6 @@
         self,
         machine_limits: Mapping[str, Any],
         max_calls_in_flight: float,
-        keepalive_ms: float,
         connect_timeout_setting_ms: float,
     ) -> None:
         sockets = int(machine_limits.get("sockets") or DEFAULT_SOCKETS)
@@ -99,13 +86,12 @@
             slots = int(max_calls_in_flight)
         else:
             slots = sockets // SOCKETS_PER_DEFAULT_SLOT
-        self.max_idle_connections = max(MIN_CONNECTIONS, int(IDLE_CONNECTION_SHARE * sockets) - slots)
-        sockets_for_clients = sockets - RESERVED_SOCKETS - self.max_idle_connections - 2 * slots
+        free_sockets = max(0, int(FREE_SHARE * sockets) - slots)
+        sockets_for_clients = sockets - RESERVED_SOCKETS - free_sockets - 2 * slots
         self.max_clients = max(MIN_CONNECTIONS, sockets_for_clients)
         self.max_idle_clients = max(MIN_CONNECTIONS, int(IDLE_CLIENT_SHARE * sockets))
         self.backlog = max(MIN_BACKLOG, sockets)
         self.disk_bytes = int(float(machine_limits.get("disk_mb") or DEFAULT_DISK_MB) * BYTES_PER_DISK_MB)
-        self.max_idle_ms = KEEPALIVE_TIME_SHARE * min(keepalive_ms, MAX_KEEPALIVE_MS)
         self.connect_timeout_ms = connect_timeout_setting_ms or DEFAULT_CONNECT_TIMEOUT_MS
         memory_bytes = float(machine_limits.get("memory_mb") or DEFAULT_MEMORY_MB) * BYTES_PER_MIB
         self.max_pending_bytes = int(memory_bytes * PENDING_BODIES_MEMORY_SHARE)
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -11,7 +11,6 @@
 from swiftthread.client.endpoint_client import EndpointClient
 from swiftthread.client.result_notifier import ResultNotifier
 from swiftthread.clocks import Clock
-from swiftthread.network.connection_pool import ConnectionPool
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.messages import EndpointEntry
 from swiftthread.routing.router import Router
@@ -31,15 +30,13 @@
 class Node:
     """The components of a node, and the tasks that connect them."""
 
-    # `connections` contains the idle connections to endpoints. The owner of the node closes `log` and
-    # `connections`.
+    # The owner of the node closes `log`.
 
     router: Router
     scheduler: Scheduler
     admission: AdmissionController
     log: WriteAheadLog
     discovery: DiscoveryClient
-    connections: ConnectionPool
     endpoint_client: EndpointClient
     notifier: ResultNotifier
     delivery: EventDelivery
@@ -58,15 +55,13 @@
         self.tasks.start_soon(self.activity.report)
 
     def _on_cycle(self, now: float, decided_count: int, delay_ms: float) -> None:
-        # Do the work that follows each scheduling cycle. It starts calls, admits waiting requests, starts
-        # health checks and closes idle connections.
+        # Do the work that follows each scheduling cycle: start calls, admit waiting requests, and start
+        # health checks.
         self.endpoint_client.start_batches()
         self.admission.record_cycle(delay_ms, decided_count)
         self.server.admit_waiting()
         for endpoint in self.router.endpoints_due_for_health_check(now):
             self.tasks.start_soon(self._check_health, endpoint)
-        for endpoint in self.router.endpoints_to_disconnect(now):
-            self.endpoint_client.close_idle_connections(endpoint)
 
     async def _check_health(self, endpoint: Endpoint) -> None:
         # Make one health check and record its outcome in the router.
--- a/swiftthread/service/startup.py
+++ b/swiftthread/service/startup.py
@@ -34,9 +34,7 @@
 
 async def _run_node(config: NodeConfig, signals: AsyncIterator[signal.Signals]) -> None:
     settings = config.settings
-    limits = Limits(
-        config.limits, settings.max_calls_in_flight, settings.keepalive_ms, settings.connect_timeout_ms
-    )
+    limits = Limits(config.limits, settings.max_calls_in_flight, settings.connect_timeout_ms)
     clock = LogClock(config.state_directory)
     with contextlib.closing(WriteAheadLog(config.state_directory, limits.disk_bytes, clock.now_ms)) as log:
         if clock.was_set_from_wall_clock:
@@ -51,7 +49,6 @@
             listener = open_listener(config.listen, limits.backlog)
             with contextlib.ExitStack() as resources:
                 resources.callback(tasks.cancel_scope.cancel)
-                resources.callback(node.connections.close_all)
                 resources.callback(listener.close)
                 tasks.start_soon(node.server.serve, listener, tasks)
                 logger.info(
