Test of the log lines on second responses and closed connections

The report's logs could not show that responses came twice. The test drives one connection with a second response, one with other bytes behind the response, an incomplete one and a reset one, and reads the counts and the line.

--- a/tests/service/test_activity.py
+++ b/tests/service/test_activity.py
@@ -28,3 +28,26 @@
     assert "2 rate limited" in counts and "1 acked" in counts
     calls_by_state = counts.partition("calls by state: ")[2].split(", ")
     assert sorted(calls_by_state) == ["1 after an unacked call", "1 normal", "1 trial"]
+
+
+def test_second_responses_and_closed_connections_are_logged(tmp_path):
+    """Without these lines a log does not show that an endpoint writes responses twice."""
+    ack = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    responses = [ack * 2, ack + b"noise", ack[:20], None]
+    endpoint = FakeEndpoint(*[lambda _body, response=response: response for response in responses])
+    with NodeProcess(tmp_path, endpoint) as node:
+        for number in range(1, len(responses) + 1):
+            assert node.submit("once", left="600m") == 202
+            wait_until(lambda: node.has_logged_end(f"evt-{number}"))
+        lines = node.stop_and_read_log().splitlines()
+    second_response = "endpoint s-1: a second response came behind the response to a call; it is ignored"
+    assert len([line for line in lines if second_response in line]) == 1
+    counts = next(line for line in lines if "submissions: " in line)
+    assert "unsolicited responses: 1 s-1;" in counts
+    closed = counts.partition("connections closed: ")[2].partition(";")[0].split(", ")
+    assert sorted(closed) == [
+        "1 incomplete or malformed response",
+        "1 no response",
+        "1 unsolicited bytes",
+        "1 unsolicited response",
+    ]
