The emulator records a close at an unresponsive endpoint when it happens

Trace: its call reached d1-0 at 6,006 ms, d1-0 became unresponsive at 6,021 ms, the node gave the call up after 1.5 s by a reset and sent the event elsewhere at 7,517 ms; the emulator recorded the disconnection at 7,770 ms, when the endpoint was reachable again, because it does not read from paused connections. Change: an unresponsive endpoint looks at the TCP state of its connections every 5 ms.

--- a/swiftthread/lab/emulator/endpoint_listener.py
+++ b/swiftthread/lab/emulator/endpoint_listener.py
@@ -19,6 +19,10 @@
 LISTEN_BACKLOG = 1024
 MAX_ACCEPTS_PER_EVENT = 64  # After this many connections, other events of the loop run before the next ones.
 BACKLOG_FILLERS = 3  # This many connections fill the accept queue of a socket with a backlog of 0.
+# How often an unresponsive endpoint checks whether callers have closed their connections.
+CLOSE_POLL_INTERVAL_S = 0.005
+# Values of tcp_info.tcpi_state on Linux once the peer has closed: CLOSE and CLOSE_WAIT.
+CLOSED_TCP_STATES = (7, 8)
 BATCH_TARGET = "/receive-many"
 
 SLOW_IO_CHUNK_BYTES = 64  # A slow reader or writer transfers at most this much per interval.
@@ -104,6 +108,13 @@
             return
         handler.on_call_received(self, event_ids, request)
 
+    def caller_has_closed(self) -> bool:
+        """Return whether the caller has closed or reset the connection, whatever is unread."""
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or self.transport.is_closing():
+            return False
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in CLOSED_TCP_STATES
+
     def write_response(self, data: bytes) -> None:
         """Write an encoded response, in small chunks if the endpoint is a slow writer."""
         if self.listener.has_fault(FaultKind.SLOW_WRITE):
@@ -221,6 +232,15 @@
             self._fill_backlog()
         for connection in self.connections:
             connection.transport.pause_reading()
+        self._tasks.spawn(self._watch_paused_connections())
+
+    async def _watch_paused_connections(self) -> None:
+        """Close connections that their callers close, although nothing is read from them."""
+        while self._backlog_fillers:
+            for connection in list(self.connections):
+                if connection.caller_has_closed():
+                    connection.reset()
+            await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
 
     def _fill_backlog(self) -> None:
         for _ in range(BACKLOG_FILLERS):
--- a/tests/lab/test_emulator.py
+++ b/tests/lab/test_emulator.py
@@ -94,6 +94,15 @@
         return type(error).__name__
 
 
+def is_unreachable(address):
+    """Return whether a connection is not established within a short time."""
+    try:
+        with socket.create_connection(address, 0.3):
+            return False
+    except TimeoutError:
+        return True
+
+
 def wait_until(condition, timeout_s=5.0):
     """Poll a condition; return its first true value."""
     deadline = time.monotonic() + timeout_s
@@ -149,6 +158,23 @@
         assert completed_calls <= 1  # One call may arrive before the step is applied.
 
 
+def test_the_close_of_a_call_at_an_unresponsive_endpoint_is_recorded_when_it_happens(tmp_path):
+    """It was recorded at the recovery, so that the next attempt seemed to overlap with the call."""
+    vanish = "[[step]]\nat_ms = 1500\nwhat = 'vanish'\non = 'endpoint:d1-0'\nfor_ms = 2000"
+    with running_emulator(tmp_path, f"what = 'swallow'\non = 'endpoint:d1-0'\n{vanish}") as emulator:
+        address = emulator.address_by_endpoint["d1-0"]
+        wait_until(lambda: call(address, timeout=0.2) == "TimeoutError")
+        with socket.create_connection(address, 2.0) as connection:
+            connection.sendall(b"POST /receive HTTP/1.1\r\nHost: e\r\nX-Txn: e1\r\nContent-Length: 0\r\n\r\n")
+            wait_until(lambda: is_unreachable(address))
+        closed_at = time.monotonic() * 1000.0
+        wait_until(lambda: not is_unreachable(address))
+        *_, disconnected = [
+            record for record in emulator.stop() if isinstance(record, run_records.CallerDisconnected)
+        ]
+        assert closed_at - 50.0 < disconnected.at < closed_at + 200.0
+
+
 def test_an_unavailable_destination_sends_the_remaining_time_as_retry_after(tmp_path):
     with running_emulator(tmp_path, "what = 'shut'\non = 'dest:1'\nfor_ms = 900\nwait_ms = 1") as emulator:
         reply = wait_until(
