--- a/swiftthread/lab/faults.py
+++ b/swiftthread/lab/faults.py
@@ -61,19 +61,17 @@
     """A share of the calls is rejected with 503 before the request was read, and the connection closed."""
 
 
-SOCKET_FAULTS = frozenset(
-    {
-        FaultKind.RESET_BEFORE_REQUEST,
-        FaultKind.SLOW_READ,
-        FaultKind.SLOW_WRITE,
-        FaultKind.REPEAT_RESPONSES,
-        FaultKind.LATE_RESPONSES,
-        FaultKind.SPLIT_RESPONSES,
-        FaultKind.INTERIM_RESPONSES,
-        FaultKind.NOISE_AFTER_RESPONSES,
-        FaultKind.HALF_CLOSE,
-        FaultKind.REJECT_EARLY,
-    }
+SOCKET_FAULTS = (
+    FaultKind.REPEAT_RESPONSES,
+    FaultKind.LATE_RESPONSES,
+    FaultKind.SPLIT_RESPONSES,
+    FaultKind.INTERIM_RESPONSES,
+    FaultKind.NOISE_AFTER_RESPONSES,
+    FaultKind.HALF_CLOSE,
+    FaultKind.REJECT_EARLY,
+    FaultKind.RESET_BEFORE_REQUEST,
+    FaultKind.SLOW_READ,
+    FaultKind.SLOW_WRITE,
 )
 """Faults that affect only connections and are not part of the receiver model."""
 
--- a/swiftthread/lab/soak.py
+++ b/swiftthread/lab/soak.py
@@ -13,7 +13,7 @@
 import anyio
 
 from swiftthread.lab.errors import RunError
-from swiftthread.lab.faults import FaultKind
+from swiftthread.lab.faults import SOCKET_FAULTS, FaultKind
 from swiftthread.lab.incident import (
     DeduplicationGroup,
     Destination,
@@ -44,20 +44,6 @@
 MAX_FREEZE_MS = 150.0
 SOCKETS = 256
 
-WIRE_FAULTS = (
-    FaultKind.REPEAT_RESPONSES,
-    FaultKind.LATE_RESPONSES,
-    FaultKind.SPLIT_RESPONSES,
-    FaultKind.INTERIM_RESPONSES,
-    FaultKind.NOISE_AFTER_RESPONSES,
-    FaultKind.HALF_CLOSE,
-    FaultKind.REJECT_EARLY,
-    FaultKind.RESET_BEFORE_REQUEST,
-    FaultKind.SLOW_READ,
-    FaultKind.SLOW_WRITE,
-)
-"""Faults of the connections to endpoints."""
-
 RECEIVER_FAULTS = (
     FaultKind.BECOME_UNRESPONSIVE,
     FaultKind.REFUSE_CONNECTIONS,
@@ -145,7 +131,7 @@
 
 def _draw_steps(rng: random.Random, fleet: Fleet) -> Iterator[Step]:
     """Yield the steps in no particular order."""
-    for kind in rng.sample(WIRE_FAULTS, rng.randint(2, 4)):
+    for kind in rng.sample(SOCKET_FAULTS, rng.randint(2, 4)):
         yield _draw_endpoint_step(rng, kind)
     for kind in rng.sample(RECEIVER_FAULTS, rng.randint(1, 3)):
         yield _draw_endpoint_step(rng, kind)
@@ -161,11 +147,11 @@
 
 
 def _draw_endpoint_step(rng: random.Random, kind: FaultKind) -> Step:
-    at_ms, for_ms = _draw_span(rng, 500.0, 6000.0 if kind in WIRE_FAULTS else 2500.0)
+    at_ms, for_ms = _draw_span(rng, 500.0, 6000.0 if kind in SOCKET_FAULTS else 2500.0)
     return Step(
         at_ms=at_ms,
         what=kind,
-        on=rng.choice(["all", "hall:east", "endpoint:d1-0"] if kind in WIRE_FAULTS else ["endpoint:d1-0"]),
+        on=rng.choice(["all", "hall:east", "endpoint:d1-0"] if kind in SOCKET_FAULTS else ["endpoint:d1-0"]),
         for_ms=for_ms,
         share=rng.uniform(0.1, 0.5),
         wait_ms=MAX_DELAY_MS.get(kind, 0.0),
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -4,6 +4,7 @@
 import pytest
 
 from swiftthread.lab import soak
+from swiftthread.lab.faults import SOCKET_FAULTS
 from swiftthread.lab.incident import NodeFault
 
 CONCURRENT_RUNS = 3
@@ -19,5 +20,5 @@
 
 def test_the_seeds_draw_every_fault_and_the_same_seed_the_same_incident():
     drawn = {step.what for seed in range(60) for step in soak.draw_incident(seed).step}
-    assert drawn >= {*soak.WIRE_FAULTS, *soak.RECEIVER_FAULTS, *soak.DISCOVERY_FAULTS, *NodeFault}
+    assert drawn >= {*SOCKET_FAULTS, *soak.RECEIVER_FAULTS, *soak.DISCOVERY_FAULTS, *NodeFault}
     assert soak.draw_incident(7) == soak.draw_incident(7)
