--- a/tests/lab/test_receiver_model.py
+++ b/tests/lab/test_receiver_model.py
@@ -277,7 +277,7 @@
     assert receivers.open_connection(endpoint)
 
 
-@pytest.mark.parametrize("kind", sorted(set(FaultKind) - SOCKET_FAULTS))
+@pytest.mark.parametrize("kind", sorted(set(FaultKind) - set(SOCKET_FAULTS)))
 def test_every_fault_of_the_model_can_be_applied_and_healed(kind):
     receivers, endpoint = build_receiver(random.Random(1), distribution="fixed", rate_per_s=100.0)
     receivers.apply(0.0, Fault(kind, factor=0.5, duration_ms=100.0), [endpoint])
