--- a/swiftthread/lab/soak.py
+++ b/swiftthread/lab/soak.py
@@ -40,7 +40,7 @@
 # Below the time that the referee allows for messages in transit.
 MAX_RESPONSE_DELAY_MS = 40.0
 MAX_LINE_DELAY_MS = 400.0
-# Shorter than the margins that nodes leave before deadlines.
+# The operators have a process held up for so long at most.
 MAX_FREEZE_MS = 150.0
 SOCKETS = 256
 
