--- a/review/support/agent.py
+++ b/review/support/agent.py
@@ -20,7 +20,6 @@
         self._members = {entry["id"]: dict(entry) for entry in entries}
         self._changes = []
         self.notices = []
-        self.on_notice = None
         self._server = HttpServer(self._handle)
         self.address = self._server.address
 
@@ -69,8 +68,6 @@
         for notice in notices:
             at = self._record.add("notice", json.dumps(notice))
             self.notices.append((at, notice))
-            if self.on_notice is not None:
-                self.on_notice(notice)
         return True
 
     def _watch(self, conn, from_version):
--- a/review/support/client.py
+++ b/review/support/client.py
@@ -3,11 +3,10 @@
 import socket
 
 ANSWER_TIMEOUT_S = 0.4
+BODY = b"{}"
 
 
-def hand_in(
-    record, port, event_id, stream_type, destination, remaining_ms, key=None, resent=None, body=b"{}"
-):
+def hand_in(record, port, event_id, stream_type, destination, remaining_ms, key=None):
     """Hand in an event; return the status of the answer, or None if none came in time."""
     head = [
         f"POST /{stream_type} HTTP/1.1",
@@ -15,18 +14,16 @@
         f"X-Txn: {event_id}",
         f"X-Lane: {stream_type}",
         f"X-Remaining: {remaining_ms:.0f}m",
-        f"Content-Length: {len(body)}",
+        f"Content-Length: {len(BODY)}",
         f"X-Route-To: dest={destination}",
     ]
     if key is not None:
         head.append(f"Idempotency-Key: {key}")
-    if resent is not None:
-        head.append(f"X-Resent: {resent}")
     status = None
     sent_at = record.now()
     try:
         with socket.create_connection(("127.0.0.1", port), timeout=ANSWER_TIMEOUT_S) as conn:
-            conn.sendall(("\r\n".join(head) + "\r\n\r\n").encode() + body)
+            conn.sendall(("\r\n".join(head) + "\r\n\r\n").encode() + BODY)
             answer = conn.recv(4096)
             status = int(answer.split(b" ")[1]) if answer else None
     except OSError:
