--- a/review/support/settings.py
+++ b/review/support/settings.py
@@ -129,3 +129,75 @@
         "Stats": {"Fields": [], "How": "off"},
         "WorthBy": "request",
     }
+
+
+def grangemouth():
+    """Return settings like those of grangemouth-depot."""
+    return {
+        "Balancers": 3,
+        "Position": 0,
+        "Period": 0.005,
+        "Discovery": "push",
+        "Weights": "off",
+        "KindOfService": "deliver",
+        "Kinds": ["anchor-client", "casual-client"],
+        "Localities": ["depot-office", "weighbridge-house", "workshop"],
+        "MyZone": 0,
+        "Domain": {
+            "CallsOut": 6,
+            "KindBatch": [20, 1],
+            "RoutesApart": [True, False],
+            "Carriage": [0.0, 0.03, 0.06],
+            "LosesWorth": "even",
+        },
+        "Obligations": {
+            "ColdFrom": 0.22,
+            "Fall": 3.0,
+            "FallMultiple": 2.0,
+            "StopSendingWithin": 0.25,
+            "WarmUp": 9.2,
+        },
+        "Permissions": {
+            "Cancel": True,
+            "ConnectTimeout": 1.0,
+            "Keepalive": 10.0,
+            "MaxOpen": 100,
+            "MaxRetryAfter": 2.0,
+            "Probes": True,
+            "RetryAfter": False,
+            "SecondCopies": False,
+            "TryLimit": 6,
+        },
+        "Profiles": [
+            {
+                "Name": "waste-ticket",
+                "Effect": "dedup",
+                "Group": "all",
+                "Window": 6.0,
+                "Aim": 2.5,
+                "Deadline": 24.0,
+                "LateWorth": 0.5,
+                "Value": 1.0,
+            },
+            {
+                "Name": "skip-status",
+                "Effect": "retryable",
+                "Group": "all",
+                "Aim": 3.0,
+                "Deadline": 16.0,
+                "LateWorth": 0.4,
+                "Value": 2.0,
+            },
+            {
+                "Name": "account-charge",
+                "Effect": "fragile",
+                "Aim": 3.0,
+                "Deadline": 28.0,
+                "LateWorth": 0.3,
+                "Value": 5.0,
+            },
+        ],
+        "Realms": [],
+        "Stats": {"Fields": ["x0", "x1"], "How": "inline"},
+        "WorthBy": "request",
+    }
