Log by which endpoint list a restarted node sends, and when discovery first answers

Change: the router knows whether its list is that of the configuration or has been confirmed by discovery in this process. The log names the first answer of discovery and how many events are pending then, each attempt before it, and their number in the line of counts. The list handling of Node and NodeBuilder moves to one module, service/list_follower.py. An empty first line of a watch confirms the list: nothing has changed since its version.

--- a/swiftthread/client/discovery_client.py
+++ b/swiftthread/client/discovery_client.py
@@ -122,6 +122,7 @@
         lines = BodyLineReader(connection)
         assembler = JsonAssembler()
         is_first = True
+        is_first_line = True
         while True:
             document = None
             # The timeout covers a whole document: one that never ends counts as idle, too.
@@ -132,8 +133,12 @@
                         break
             if line is None:
                 return
-            if document is None:
-                continue  # an empty line, sent by discovery as a keep-alive
+            if document is None:  # an empty line, sent by discovery as a keep-alive
+                if is_first_line and self.endpoint_list.version:
+                    await on_update([], False)  # nothing has changed since the requested version
+                is_first_line = False
+                continue
+            is_first_line = False
             entries, is_complete = self.apply_list(document, is_first)
             is_first = False
             await on_update(entries, is_complete)
--- a/swiftthread/routing/router.py
+++ b/swiftthread/routing/router.py
@@ -23,6 +23,7 @@
 from swiftthread.routing.health_checks import HealthChecks
 from swiftthread.routing.idle_connections import IdleConnections
 from swiftthread.routing.jitter import Jitter
+from swiftthread.routing.list_confirmation import ListConfirmation
 from swiftthread.routing.list_polling import ListPolling
 from swiftthread.routing.messages import (
     MAY_HAVE_RUN,
@@ -68,6 +69,7 @@
         self.recovery = RecoveryPacing(settings, self.jitter)
         self.endpoint_list = EndpointList(settings, self.recovery)
         self.list_polling = ListPolling(settings, self.jitter)
+        self.list_confirmation = ListConfirmation()
         self.quotas = TenantQuotas(settings)
         self.pending = PendingCapacity(settings, self.endpoint_list.destinations)
         self.ordering = OrderingQueues(settings.ordering_pause_ms)
@@ -115,9 +117,24 @@
 
     # Endpoint lists.
 
+    @property
+    def is_list_confirmed(self) -> bool:
+        """Whether discovery has sent or confirmed the endpoint list in use."""
+        return self.list_confirmation.is_confirmed
+
+    def apply_cached_endpoint_list(self, entries: Iterable[EndpointEntry], now: float) -> None:
+        """Apply the complete list of an earlier process, to be used until discovery sends or confirms one."""
+        self._apply_endpoint_list(entries, True, now)
+        self.list_confirmation.start_with_cached_list(now)
+
     def apply_endpoint_list(self, entries: Iterable[EndpointEntry], is_complete: bool, now: float) -> None:
-        """Apply an endpoint list; one that is not complete contains only what changed."""
+        """Apply an endpoint list from discovery; one that is not complete contains only what changed."""
+        # A list without entries that is not complete confirms the list in use.
         self.list_polling.record_list_received()
+        self._apply_endpoint_list(entries, is_complete, now)
+        self.list_confirmation.confirm()
+
+    def _apply_endpoint_list(self, entries: Iterable[EndpointEntry], is_complete: bool, now: float) -> None:
         for endpoint in self.endpoint_list.apply(entries, is_complete, now):
             self.health.remove_endpoint(endpoint)
 
--- a/swiftthread/service/activity.py
+++ b/swiftthread/service/activity.py
@@ -42,6 +42,8 @@
     def __init__(self) -> None:
         self.submissions: Counter[AdmissionOutcome] = Counter()
         self.attempts: Counter[SendOutcome] = Counter()
+        self.unconfirmed_list_attempts = 0
+        """Attempts by an endpoint list that discovery had not confirmed in this process."""
         self.call_states: Counter[CallState] = Counter()
         self.final_outcomes: Counter[FinalOutcome] = Counter()
         self.acked_count = 0
@@ -104,10 +106,12 @@
         """Log the counts since the previous report, unless all are 0, and reset them."""
         if self.submissions or self.attempts or self.final_outcomes or self.acked_count:
             logger.bind(**STATE_CHANGE).info(
-                "submissions: {}; attempts: {}; events: {} acked, {}; endpoints marked down: {}; "
+                "submissions: {}; attempts: {}, {} of them by an unconfirmed endpoint list; "
+                "events: {} acked, {}; endpoints marked down: {}; "
                 "connections closed: {}; unsolicited responses: {}; calls by state: {}",
                 _counts_text(self.submissions),
                 _counts_text(self.attempts),
+                self.unconfirmed_list_attempts,
                 self.acked_count,
                 _counts_text(self.final_outcomes),
                 self.down_count,
@@ -117,6 +121,7 @@
             )
         self.submissions.clear()
         self.attempts.clear()
+        self.unconfirmed_list_attempts = 0
         self.call_states.clear()
         self.final_outcomes.clear()
         self.acked_count = 0
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -4,11 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from loguru import logger
-
 from swiftthread.client.discovery_client import DiscoveryClient
 from swiftthread.client.endpoint_client import EndpointClient
-from swiftthread.client.http_exchange import PARSE_ERRORS
 from swiftthread.client.result_notifier import ResultNotifier
 from swiftthread.clocks import Clock, monotonic_ms
 from swiftthread.configuration.node_config import NodeConfig
@@ -27,6 +24,7 @@
     WATCH_IDLE_TIMEOUT_MS,
     Limits,
 )
+from swiftthread.service.list_follower import EndpointListFollower
 from swiftthread.service.node import Node
 from swiftthread.service.scheduler import Scheduler
 from swiftthread.service.submissions import SubmissionHandler
@@ -73,13 +71,14 @@
         delivery = self._build_delivery(endpoint_client, notifier)
         submissions = self._build_submissions(delivery)
         server = self._build_server(submissions)
-        self._apply_initial_list(discovery)
+        list_follower = self._build_list_follower(discovery)
         return Node(
             router=self._router,
             scheduler=self._scheduler,
             admission=self._admission,
             log=self._log,
             discovery=discovery,
+            list_follower=list_follower,
             endpoint_client=endpoint_client,
             notifier=notifier,
             delivery=delivery,
@@ -163,17 +162,9 @@
             request_cycle=self._scheduler.request_cycle,
         )
 
-    def _apply_initial_list(self, discovery: DiscoveryClient) -> None:
-        # Use the configuration's endpoint list until the discovery watch delivers a newer one.
-        initial_list = self._config.initial_list
-        if not initial_list:
-            return
-        try:
-            entries, is_complete = discovery.apply_list(initial_list)
-            self._router.apply_endpoint_list(entries, is_complete, monotonic_ms())
-        except PARSE_ERRORS as error:
-            logger.warning(
-                "the endpoint list (known) in the configuration is invalid ({}); "
-                "the node waits for the list from discovery",
-                error,
-            )
+    def _build_list_follower(self, discovery: DiscoveryClient) -> EndpointListFollower:
+        follower = EndpointListFollower(
+            discovery=discovery, router=self._router, scheduler=self._scheduler, clock=monotonic_ms
+        )
+        follower.apply_cached_list(self._config.initial_list)
+        return follower
--- a/swiftthread/service/delivery.py
+++ b/swiftthread/service/delivery.py
@@ -148,6 +148,8 @@
         self, pending: PendingEvent, event: Event, send: Send
     ) -> Reject | Abandon | Defer | None:
         # Make one attempt; returns the router's next decision, or None once the event is finished.
+        if not self._router.is_list_confirmed:
+            self._report_unconfirmed_list(pending, send)
         is_logged = self._log.append_sent(pending, event.sent_group)
         if is_logged:
             result = await self._endpoint_client.send(pending, send)
@@ -171,6 +173,15 @@
             self._log.append_never_ran(pending)
         return None if result.is_event_finished else decision
 
+    def _report_unconfirmed_list(self, pending: PendingEvent, send: Send) -> None:
+        self._activity.unconfirmed_list_attempts += 1
+        logger.warning(
+            "event {}: an attempt at endpoint {} by the endpoint list of the configuration, "
+            "which discovery has not confirmed",
+            pending.event_id,
+            send.endpoint.endpoint_id,
+        )
+
     @staticmethod
     async def _skip_unlogged_send() -> SendResult:
         # Returns the result of a send that could not be logged and so was not made. It does so after a pause,
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -5,19 +5,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import anyio
-
 from swiftthread.client.discovery_client import DiscoveryClient
 from swiftthread.client.endpoint_client import EndpointClient
 from swiftthread.client.result_notifier import ResultNotifier
 from swiftthread.clocks import Clock
 from swiftthread.routing.endpoint import Endpoint
-from swiftthread.routing.messages import EndpointEntry
 from swiftthread.routing.router import Router
 from swiftthread.server.http_server import HttpServer
 from swiftthread.service.activity import Activity
 from swiftthread.service.admission import AdmissionController
 from swiftthread.service.delivery import EventDelivery
+from swiftthread.service.list_follower import EndpointListFollower
 from swiftthread.service.scheduler import Scheduler
 from swiftthread.service.submissions import SubmissionHandler
 from swiftthread.storage.write_ahead_log import WriteAheadLog
@@ -37,6 +35,7 @@
     admission: AdmissionController
     log: WriteAheadLog
     discovery: DiscoveryClient
+    list_follower: EndpointListFollower
     endpoint_client: EndpointClient
     notifier: ResultNotifier
     delivery: EventDelivery
@@ -51,7 +50,7 @@
         self.delivery.resume()
         self.tasks.start_soon(self.notifier.run)
         self.tasks.start_soon(self.scheduler.run, self._on_cycle)
-        self.tasks.start_soon(self._follow_discovery)
+        self.tasks.start_soon(self.list_follower.run)
         self.tasks.start_soon(self.activity.report)
 
     def _on_cycle(self, now: float, decided_count: int, delay_ms: float) -> None:
@@ -71,18 +70,3 @@
             endpoint.endpoint_id, result.outcome, now, result.latency_ms, result.load_report
         )
         self.scheduler.wake(endpoint.destination)
-
-    async def _apply_endpoint_list(self, entries: list[EndpointEntry], is_complete: bool) -> None:
-        # Apply a complete endpoint list, or a change to it, to the router.
-        now = await self.scheduler.wait_for_cycle()
-        self.router.apply_endpoint_list(entries, is_complete, now)
-        self.scheduler.wake()
-
-    async def _follow_discovery(self) -> None:
-        # Keep a discovery watch open; after a failure the router determines when to open the next one.
-        while True:
-            if not await self.discovery.watch(self._apply_endpoint_list):
-                continue
-            retry_at = self.router.record_list_request_failure(self.clock())
-            while not self.router.start_due_list_request(now := self.clock()):
-                await anyio.sleep((retry_at - now) / 1000.0)
