A restarted node holds its events until discovery confirms the endpoint list

What callers saw: after a restart events of one destination reached an endpoint of another, which had taken the address of a replaced endpoint and answered 200. The right destination never got them, and there was no notice.

Cause: service/composition.py made the endpoints of the configuration's list (known) ready at once, and service/node.py resumed the events of the log before the discovery watch had brought its first line. The check right before the first byte asked the table that the same list had filled. New events that clients handed in went the same way for as long as discovery was silent.

Change: a list of an earlier process is unconfirmed until discovery has sent or confirmed one in this process. While it is, Router.decide defers each event (routing/list_confirmation.py). An ordered event waits no longer than those behind it can. Events whose wait ends get a queue group of their own, so that none is held up by a more urgent one that still waits.

--- a/swiftthread/routing/ordering.py
+++ b/swiftthread/routing/ordering.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import deque
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass, field
 
 from swiftthread.routing.events import Event
@@ -53,6 +53,11 @@
         queue = self.queues.get(ordering_key)
         return queue.events[0] if queue and queue.events else None
 
+    def pending_events(self, ordering_key: Hashable) -> Iterable[Event]:
+        """Return the pending events of a key in their order."""
+        queue = self.queues.get(ordering_key)
+        return queue.events if queue else ()
+
     def pause(self, ordering_key: Hashable, now: float) -> None:
         """Delay the next event of a key after an attempt that may still run."""
         self.queues[ordering_key].paused_until = now + self.pause_ms
--- a/swiftthread/routing/router.py
+++ b/swiftthread/routing/router.py
@@ -23,7 +23,7 @@
 from swiftthread.routing.health_checks import HealthChecks
 from swiftthread.routing.idle_connections import IdleConnections
 from swiftthread.routing.jitter import Jitter
-from swiftthread.routing.list_confirmation import ListConfirmation
+from swiftthread.routing.list_confirmation import RECHECK_INTERVAL_MS, ListConfirmation
 from swiftthread.routing.list_polling import ListPolling
 from swiftthread.routing.messages import (
     MAY_HAVE_RUN,
@@ -50,6 +50,9 @@
 # Added to each Retry-After, so that rounding does not make a call at its end arrive too early.
 RETRY_AFTER_MARGIN_MS = 1.0
 
+QueueKey = tuple[StreamType, GroupId | None, bool]
+"""Stream type, deduplication group to which the event is bound, whether it waits for a confirmed list."""
+
 
 class Router:
     """Makes the decisions of one delivery node; owns the decision modules and calls them in sequence."""
@@ -218,9 +221,10 @@
         """Return the first pending event of an ordering key; None if it has none."""
         return self.ordering.first(ordering_key)
 
-    def queue_key(self, event: Event) -> tuple[StreamType, GroupId | None]:
+    def queue_key(self, event: Event, now: float) -> QueueKey:
         """Return a key: events of a destination with equal keys get the same decision until one is sent."""
-        return event.stream_type, event.may_have_run_group if retry_rules.is_bound_to_group(event) else None
+        group = event.may_have_run_group if retry_rules.is_bound_to_group(event) else None
+        return event.stream_type, group, self._held_until(event, now) > now
 
     def excess_pending(self) -> int:
         """Return how many pending events exceed the capacity."""
@@ -250,6 +254,14 @@
         """Return when the event is given up at the latest."""
         return self.retry_rules.give_up_at(event)
 
+    def deadline(self, event: Event, now: float) -> float:
+        """Return when a waiting event is to be decided at the latest."""
+        # Events that wait for a confirmed list end their wait at different times, whatever their queue.
+        held_until = self._held_until(event, now)
+        if held_until > now:
+            return min(held_until, now + RECHECK_INTERVAL_MS)
+        return self.retry_rules.give_up_at(event)
+
     def is_safe_to_reject(self, event: Event) -> bool:
         """Return whether a client may resubmit the event without the risk of a second effect."""
         return retry_rules.is_safe_to_reject(event)
@@ -264,6 +276,9 @@
         may_send_at = self.ordering.may_send_at(event, now)
         if may_send_at > now:
             return self._defer(event, min(give_up_at, may_send_at), waits_for_outcome=True)
+        held_until = self._held_until(event, now)
+        if held_until > now:
+            return self._defer(event, held_until, waits_for_outcome=True)
         selection = self.selector.select(event, now)
         if isinstance(selection, NoneAvailable):
             return self._defer(
@@ -367,6 +382,15 @@
         request_at = self.list_polling.next_request_at
         return min(request_at if request_at > now else math.inf, self.health_checks.next_at(now))
 
+    def _held_until(self, event: Event, now: float) -> float:
+        # Return until when an event waits for a confirmed endpoint list; -inf if it does not wait.
+        if self.is_list_confirmed:
+            return -math.inf
+        # The later events of its ordering key cannot be sent before it.
+        events = (event, *self.ordering.pending_events(event.ordering_key))
+        give_up_at = min(map(self.retry_rules.give_up_at, events))
+        return self.list_confirmation.held_until(event, give_up_at, now)
+
     def _must_shed(self, event: Event) -> bool:
         # Return whether to reject an event because the node is over capacity.
         #
--- a/swiftthread/service/pending_queues.py
+++ b/swiftthread/service/pending_queues.py
@@ -79,7 +79,7 @@
     def add(self, event: Event, now: float) -> None:
         """Queue an event until it is decided."""
         self.group_of[event] = None
-        self.event_timers.set_deadline(event, self.router.give_up_at(event, now))
+        self.event_timers.set_deadline(event, self.router.deadline(event, now))
         self._enqueue(event, now)
 
     def remove(self, event: Event) -> None:
@@ -134,7 +134,7 @@
             if may_send_at < math.inf:
                 self.event_timers.start_pause(event, may_send_at)
             return
-        key = (event.destination, *self.router.queue_key(event))
+        key = self._group_key(event, now)
         group = self.groups.get(key)
         if group is None:
             group = self.groups[key] = QueueGroup(key, event.destination, self.router, now)
@@ -168,9 +168,20 @@
             if not is_deadline:
                 if self.group_of[event] is None:
                     self._enqueue(event, now)
-            elif isinstance(self._decide(event, now), Defer):  # the router has extended its deadline
-                extended_to = self.router.give_up_at(event, now)
-                self.event_timers.set_deadline(event, max(now + MIN_DEADLINE_EXTENSION_MS, extended_to))
+            elif self.router.deadline(event, now) > now or isinstance(self._decide(event, now), Defer):
+                self._extend_deadline(event, now)
+
+    def _extend_deadline(self, event: Event, now: float) -> None:
+        # The router has extended the deadline of an event. It may now get another decision than its group.
+        deadline = max(now + MIN_DEADLINE_EXTENSION_MS, self.router.deadline(event, now))
+        self.event_timers.set_deadline(event, deadline)
+        group = self.group_of[event]
+        if group is not None and group.key != self._group_key(event, now):
+            self._leave_group(event)
+            self._enqueue(event, now)
+
+    def _group_key(self, event: Event, now: float) -> tuple[Hashable, ...]:
+        return (event.destination, *self.router.queue_key(event, now))
 
     def _enqueue_next_in_order(self, now: float) -> None:
         for ordering_key in self._unblocked_ordering_keys:
--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -237,6 +237,8 @@
         self.failing_notification_count = 0  # number of the next notification requests that get a 500
         self.targets = []
         self.omits_keep_alives = False  # whether the watches send no keep-alive lines
+        self.answers_watches = threading.Event()  # while not set, a new watch waits for its response
+        self.answers_watches.set()
 
     def _handle_request(self, method, target, headers, body):
         if method == "POST":
@@ -249,8 +251,10 @@
         return self._watch
 
     def _watch(self, conn):
+        self.answers_watches.wait()
         conn.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        self.send_line(conn, json.dumps(self.list_document))
+        # Without a document nothing has changed since the requested version.
+        self.send_line(conn, json.dumps(self.list_document) if self.list_document else "")
         self.watches.append(conn)
         for _ in range(60):
             time.sleep(0.5)
