List changes count as soon as discovery has written them, also after a standstill

Cause: the decision and the check right before the first byte asked a list older than what lay in the watch's socket.

Change: an update is passed to the router when it is read, not in the next cycle. client/list_watch.py reads without waiting, and both the scheduling cycle, before it decides, and each call, right before its first byte, have it apply what has arrived. After SIGHUP with another discovery nothing more is read from the old watch.

The injected fault of test_error_in_an_endpoint_list moved with the function it fails: the watch calls EndpointList.apply_document itself. test_health_check passes the new argument.

--- a/swiftthread/client/discovery_client.py
+++ b/swiftthread/client/discovery_client.py
@@ -4,25 +4,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 import anyio
 from loguru import logger
 
-from swiftthread.client.endpoint_list import EndpointList, EndpointListUpdate, MalformedEndpointList
+from swiftthread.client.endpoint_list import EndpointList, EndpointListUpdate
 from swiftthread.client.http_exchange import PARSE_ERRORS, HttpRequest, client_parser, encode_request
-from swiftthread.client.json_stream import BodyLineReader, JsonAssembler
+from swiftthread.client.list_watch import ListWatch, UpdateCallback
 from swiftthread.network.address import Address
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.connection import Connection, ConnectionClosed, connect
-from swiftthread.routing.messages import EndpointEntry
-
-# After this many consecutive lists with an unreadable entry, such an entry is tolerated.
-MAX_CONSECUTIVE_UNREADABLE_LISTS = 2
-
-UpdateCallback = Callable[[list[EndpointEntry], bool], Awaitable[None]]
-"""Receives the fields of an `EndpointListUpdate` as its arguments."""
 
 
 class DiscoveryClient:
@@ -54,6 +47,7 @@
         # the numbers of the zones in the settings, by name.
         self.endpoint_list = EndpointList(kind_numbers, zone_numbers)
         self.watch_scope = anyio.CancelScope()
+        self._open_watch: ListWatch | None = None
 
     @property
     def addresses(self) -> Mapping[str | int, Address]:
@@ -67,12 +61,18 @@
         if address != self.address:
             self.address = address
             self.endpoint_list.expect_complete_list()
+            self._open_watch = None  # what the previous discovery has written is not read any more
             self.watch_scope.cancel()
 
     def apply_list(self, document: Any, is_first_of_watch: bool = False) -> EndpointListUpdate:
         """Apply a list document from discovery; see `EndpointList.apply_document`."""
         return self.endpoint_list.apply_document(document, is_first_of_watch)
 
+    def apply_available_updates(self) -> None:
+        """Pass on the updates that discovery has written to the open watch, without waiting."""
+        if self._open_watch is not None:
+            self._open_watch.apply_available()
+
     async def watch(self, on_update: UpdateCallback) -> bool:
         """Open a watch and pass each update to `on_update`, until the watch ends, times out or fails.
 
@@ -90,7 +90,8 @@
             with anyio.fail_after(self.connect_timeout_ms / 1000.0):
                 connection = await connect(self.address, self.buffers, client_parser())
             await self._request_watch(connection)
-            await self._read_updates(connection, on_update)
+            self._open_watch = ListWatch(connection, self.endpoint_list, on_update)
+            await self._open_watch.run(self.idle_timeout_ms)
         except (ConnectionClosed, TimeoutError):
             logger.info(
                 "discovery {}:{}: the watch was closed or timed out; another one is opened", host, port
@@ -107,6 +108,7 @@
             self.endpoint_list.expect_complete_list()
             logger.exception("discovery {}:{}: the watch failed; the complete list is requested", host, port)
         finally:
+            self._open_watch = None
             if connection is not None:
                 connection.close()
 
@@ -114,34 +116,3 @@
         target = f"/catalog/members?watch=1&from={self.endpoint_list.version}"
         request = HttpRequest("GET", target, [("Host", "discovery")])
         await connection.write(*encode_request(connection, request))
-
-    async def _read_updates(self, connection: Connection, on_update: UpdateCallback) -> None:
-        # Pass each update to `on_update` until the response body ends.
-        # Raises TimeoutError if the watch was idle for longer than `idle_timeout_ms`, and
-        # MalformedEndpointList if a list has an unreadable entry and the complete list is to be requested.
-        lines = BodyLineReader(connection)
-        assembler = JsonAssembler()
-        is_first = True
-        is_first_line = True
-        while True:
-            document = None
-            # The timeout covers a whole document: one that never ends counts as idle, too.
-            with anyio.fail_after(self.idle_timeout_ms / 1000.0):
-                while (line := await lines.read_line()) is not None:
-                    document = assembler.add(line)
-                    if document is not None or not assembler.has_begun:
-                        break
-            if line is None:
-                return
-            if document is None:  # an empty line, sent by discovery as a keep-alive
-                if is_first_line and self.endpoint_list.version:
-                    await on_update([], False)  # nothing has changed since the requested version
-                is_first_line = False
-                continue
-            is_first_line = False
-            entries, is_complete = self.apply_list(document, is_first)
-            is_first = False
-            await on_update(entries, is_complete)
-            if 0 < self.endpoint_list.consecutive_unreadable_lists <= MAX_CONSECUTIVE_UNREADABLE_LISTS:
-                # The complete list is requested again: it may have a readable entry for this endpoint.
-                raise MalformedEndpointList("an entry of the endpoint list cannot be parsed")
--- a/swiftthread/client/endpoint_call.py
+++ b/swiftthread/client/endpoint_call.py
@@ -43,6 +43,7 @@
         "clock",
         "log_clock",
         "send_deadline",
+        "update_endpoint_list",
         "started_at",
         "initial_deadlines",
         "target",
@@ -58,12 +59,14 @@
         clock: Clock,
         log_clock: Clock,
         send_deadline: SendDeadline,
+        update_endpoint_list: Callable[[], None],
     ) -> None:
         self.batch = batch
         self.connections = connections
         self.clock = clock
         self.log_clock = log_clock
         self.send_deadline = send_deadline
+        self.update_endpoint_list = update_endpoint_list
         self.started_at = clock()
         self.initial_deadlines = [
             send_deadline(send.pending.router_event, batch.endpoint, self.started_at) for send in batch.sends
@@ -131,6 +134,7 @@
         # other sends finish as not sent: connecting may have taken too long, or this process may have been
         # suspended.
         # Returns the time by which the last byte of the request must have been sent.
+        self.update_endpoint_list()
         now = self.clock()
         endpoint = self.batch.endpoint
         write_by = math.inf
--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import TYPE_CHECKING
 
 import anyio
@@ -47,6 +47,7 @@
         connect_timeout_ms: float,
         report_fields: Collection[str],
         send_deadline: SendDeadline,
+        update_endpoint_list: Callable[[], None],
         observer: ConnectionObserver,
     ) -> None:
         self.tasks = tasks
@@ -64,6 +65,8 @@
         """Names of the fields of a load report; empty if endpoints send no load reports."""
         self.send_deadline = send_deadline
         """Returns when the last byte of a send must have been sent."""
+        self.update_endpoint_list = update_endpoint_list
+        """Applies the list changes that have arrived; called right before the first byte of a call."""
         self.batches: dict[Call, Batch] = {}  # emptied by `start_batches`
 
     async def send(self, pending: PendingEvent, send: Send) -> SendResult:
@@ -90,7 +93,9 @@
 
     async def _call(self, batch: Batch) -> None:
         # Make the call of a batch and finish each send in it.
-        call = EndpointCall(batch, self.connections, self.clock, self.log_clock, self.send_deadline)
+        call = EndpointCall(
+            batch, self.connections, self.clock, self.log_clock, self.send_deadline, self.update_endpoint_list
+        )
         if len(batch.sends) > 1:
             self.tasks.start_soon(call.finish_expired_sends)
         completed = await call.run()
--- a/swiftthread/client/json_stream.py
+++ b/swiftthread/client/json_stream.py
@@ -10,6 +10,8 @@
 from swiftthread.network.connection import Connection, ConnectionClosed
 
 MAX_OBJECT_BYTES = 4 * 1024 * 1024  # far more than the endpoint list of any fleet within the specified limits
+# Reads of one buffer each, 4 MiB in total, after which other tasks get to run.
+MAX_READS_PER_CALL = 256
 
 
 class MalformedJsonStream(ValueError):
@@ -22,43 +24,45 @@
     def __init__(self, connection: Connection) -> None:
         self.connection = connection
         self.lines: deque[bytes] = deque()
-        self.incomplete_line = bytearray()
+        """Whole lines, without their line ends; emptied by the caller."""
+        self.is_at_end = False
+        """Whether the body has ended, or the status of the response is not 200."""
+        self._incomplete_line = bytearray()
 
-    async def read_line(self) -> bytes | None:
-        """Returns the next whole line, without its line end.
+    def read_available(self) -> None:
+        """Read what has arrived, without waiting.
 
         Raises:
             ConnectionClosed: The connection was closed, or the bytes are not HTTP.
-            MalformedJsonStream: The line is longer than MAX_OBJECT_BYTES.
+            MalformedJsonStream: A line is longer than MAX_OBJECT_BYTES.
         """
-        # The line is None at the end of the body, or if the status of the response is not 200.
-        while not self.lines:
-            data = await self._read_data()
-            if data is None:
-                return None
-            *line_ends, remainder = data.split(b"\n")
-            for line_end in line_ends:
-                self.lines.append(bytes(self.incomplete_line + line_end))
-                self.incomplete_line.clear()
-            self.incomplete_line += remainder
-            if len(self.incomplete_line) > MAX_OBJECT_BYTES:
-                raise MalformedJsonStream(
-                    f"a line of the JSON stream is longer than {MAX_OBJECT_BYTES} bytes"
-                )
-        return self.lines.popleft()
-
-    async def _read_data(self) -> bytes | None:
-        while True:
+        for _ in range(MAX_READS_PER_CALL):
+            self._parse_received()
+            if self.is_at_end or not self.connection.read_available():
+                return
+
+    def _parse_received(self) -> None:
+        # Split into lines what the connection's parser has received.
+        while not self.is_at_end:
             try:
                 part = self.connection.parser.next_event()
             except h11.RemoteProtocolError:
                 raise ConnectionClosed(True) from None
             if part is h11.NEED_DATA:
-                await self.connection.read()
-            elif isinstance(part, h11.Data):
-                return bytes(part.data)
-            elif not (isinstance(part, h11.Response) and part.status_code == 200):
-                return None
+                return
+            if isinstance(part, h11.Data):
+                self._add_data(bytes(part.data))
+            else:
+                self.is_at_end = not (isinstance(part, h11.Response) and part.status_code == 200)
+
+    def _add_data(self, data: bytes) -> None:
+        *line_ends, remainder = data.split(b"\n")
+        for line_end in line_ends:
+            self.lines.append(bytes(self._incomplete_line + line_end))
+            self._incomplete_line.clear()
+        self._incomplete_line += remainder
+        if len(self._incomplete_line) > MAX_OBJECT_BYTES:
+            raise MalformedJsonStream(f"a line of the JSON stream is longer than {MAX_OBJECT_BYTES} bytes")
 
 
 class JsonAssembler:
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -109,6 +109,7 @@
             connect_timeout_ms=self._limits.connect_timeout_ms,
             report_fields=self._config.report_fields,
             send_deadline=self._router.send_deadline,
+            update_endpoint_list=discovery.apply_available_updates,
             observer=self._activity,
         )
 
--- a/swiftthread/service/list_follower.py
+++ b/swiftthread/service/list_follower.py
@@ -52,13 +52,14 @@
             while not self._router.start_due_list_request(now := self._clock()):
                 await anyio.sleep((retry_at - now) / 1000.0)
 
-    async def _apply_update(self, entries: list[EndpointEntry], is_complete: bool) -> None:
+    def _apply_update(self, entries: list[EndpointEntry], is_complete: bool) -> None:
         # Apply a complete endpoint list, or a change to it, to the router.
-        now = await self._scheduler.wait_for_cycle()
+        now = self._clock()
         if not self._router.is_list_confirmed:
             self._report_confirmation(now)
         self._router.apply_endpoint_list(entries, is_complete, now)
         self._scheduler.wake()
+        self._scheduler.request_cycle()
 
     def _report_confirmation(self, now: float) -> None:
         logger.bind(**STATE_CHANGE).info(
--- a/swiftthread/service/node.py
+++ b/swiftthread/service/node.py
@@ -49,7 +49,7 @@
         """Resume the events in the log, and start the tasks that run for the lifetime of the node."""
         self.delivery.resume()
         self.tasks.start_soon(self.notifier.run)
-        self.tasks.start_soon(self.scheduler.run, self._on_cycle)
+        self.tasks.start_soon(self.scheduler.run, self.discovery.apply_available_updates, self._on_cycle)
         self.tasks.start_soon(self.list_follower.run)
         self.tasks.start_soon(self.activity.report)
 
--- a/swiftthread/service/scheduler.py
+++ b/swiftthread/service/scheduler.py
@@ -107,10 +107,13 @@
         self._queues.remove(event)
         self._decision_waiters.pop(event, None)
 
-    async def run(self, on_cycle: Callable[[float, int, float], None]) -> None:
+    async def run(
+        self, before_decisions: Callable[[], None], on_cycle: Callable[[float, int, float], None]
+    ) -> None:
         """Run scheduling cycles until cancelled.
 
         Args:
+            before_decisions: Called in each cycle before any event is decided.
             on_cycle: Called after each cycle with the time of the cycle (ms), the number of events that it
                 decided, and its delay (ms) caused by a lack of CPU time.
         """
@@ -119,7 +122,7 @@
             try:
                 await self._sleep()
                 now = self._clock()
-                decided_count = await self._run_cycle(now)
+                decided_count = await self._run_cycle(now, before_decisions)
                 on_cycle(now, decided_count, delay_ms)
             except Exception:  # keeps the node running: the next scheduling cycle retries all events
                 logger.exception("a scheduling cycle failed; the next one retries all pending events")
@@ -142,7 +145,7 @@
             await self._wakeup.wait()
         self._sleeping_until = -math.inf
 
-    async def _run_cycle(self, now: float) -> int:
+    async def _run_cycle(self, now: float, before_decisions: Callable[[], None]) -> int:
         # Let waiting tasks update the router, then decide events; returns how many were decided.
         waiters = self._cycle_waiters
         self._cycle_waiters = []
@@ -152,6 +155,7 @@
             await checkpoint()  # the resumed tasks run until they wait again
         if not self.is_sending:
             return 0
+        before_decisions()
         decisions = self._queues.run_cycle(now)
         for event_decision in decisions:
             self._deliver_decision(event_decision)
--- a/tests/client/test_discovery_watch.py
+++ b/tests/client/test_discovery_watch.py
@@ -8,7 +8,8 @@
 from support.node_process import NodeProcess, wait_until
 from support.simulated_node import SimulatedNode
 
-from swiftthread.client.discovery_client import MAX_CONSECUTIVE_UNREADABLE_LISTS, DiscoveryClient
+from swiftthread.client.discovery_client import DiscoveryClient
+from swiftthread.client.list_watch import MAX_CONSECUTIVE_UNREADABLE_LISTS
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.service import limits
 
--- a/tests/client/test_health_check.py
+++ b/tests/client/test_health_check.py
@@ -30,6 +30,7 @@
             connect_timeout_ms=1500.0,
             report_fields=(),
             send_deadline=None,
+            update_endpoint_list=lambda: None,
             observer=Activity(),
         )
 
--- a/tests/service/test_internal_errors.py
+++ b/tests/service/test_internal_errors.py
@@ -86,7 +86,7 @@
 def test_error_in_an_endpoint_list_requests_the_complete_list(tmp_path):
     endpoint, later = FakeEndpoint(), FakeEndpoint(ident="s-2", cell=2)
     with node_with_fault(
-        tmp_path, "swiftthread.client.discovery_client:DiscoveryClient.apply_list 3", endpoint
+        tmp_path, "swiftthread.client.endpoint_list:EndpointList.apply_document 3", endpoint
     ) as node:  # 1: the list in the configuration, 2: the first from discovery
         wait_until(lambda: node.discovery.watches)
         node.discovery.send_change(later.entry())
