After a standstill, responses that had arrived are recorded before anything is sent

What callers saw: a node that had stood still for a second called a destination at once, although its endpoint had written a Retry-After of 2 s to it during the standstill.

A call that was connecting wrote its first byte in the same way: the check before it asks the rate limiter, which learns of a response in the next cycle.

A call that took over 50 ms to connect waits for a cycle before its check. Cycles of a busy node, 5 ms apart, are not affected.

--- a/swiftthread/client/endpoint_call.py
+++ b/swiftthread/client/endpoint_call.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import anyio
@@ -31,6 +31,10 @@
 Returns -inf when the event may not be sent to this endpoint any more.
 """
 
+# If connecting took longer, the process may have stood still, and a Retry-After that arrived meanwhile may
+# not be recorded yet. Calls within 100 ms of a Retry-After are tolerated.
+MAX_UNRECORDED_MS = 50.0
+
 
 class EndpointCall:
     """One call with the sends of a batch."""
@@ -44,6 +48,7 @@
         "log_clock",
         "send_deadline",
         "update_endpoint_list",
+        "wait_until_recorded",
         "started_at",
         "initial_deadlines",
         "target",
@@ -60,6 +65,7 @@
         log_clock: Clock,
         send_deadline: SendDeadline,
         update_endpoint_list: Callable[[], None],
+        wait_until_recorded: Callable[[], Awaitable[None]],
     ) -> None:
         self.batch = batch
         self.connections = connections
@@ -67,6 +73,7 @@
         self.log_clock = log_clock
         self.send_deadline = send_deadline
         self.update_endpoint_list = update_endpoint_list
+        self.wait_until_recorded = wait_until_recorded
         self.started_at = clock()
         self.initial_deadlines = [
             send_deadline(send.pending.router_event, batch.endpoint, self.started_at) for send in batch.sends
@@ -118,6 +125,8 @@
             self.connection = await self.connections.open(self.target)
         if self.connection is None:
             return SendOutcome.NOT_SENT if last_send_deadline < connect_by else SendOutcome.UNREACHABLE
+        if self.clock() - self.started_at > MAX_UNRECORDED_MS:
+            await self.wait_until_recorded()
         write_by = self._check_send_deadlines()
         if not self.batch.in_call:
             return SendOutcome.NOT_SENT
--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import TYPE_CHECKING
 
 import anyio
@@ -48,6 +48,7 @@
         report_fields: Collection[str],
         send_deadline: SendDeadline,
         update_endpoint_list: Callable[[], None],
+        wait_until_recorded: Callable[[], Awaitable[None]],
         observer: ConnectionObserver,
     ) -> None:
         self.tasks = tasks
@@ -67,6 +68,8 @@
         """Returns when the last byte of a send must have been sent."""
         self.update_endpoint_list = update_endpoint_list
         """Applies the list changes that have arrived; called right before the first byte of a call."""
+        self.wait_until_recorded = wait_until_recorded
+        """Waits until the outcomes that have arrived are recorded."""
         self.batches: dict[Call, Batch] = {}  # emptied by `start_batches`
 
     async def send(self, pending: PendingEvent, send: Send) -> SendResult:
@@ -94,7 +97,13 @@
     async def _call(self, batch: Batch) -> None:
         # Make the call of a batch and finish each send in it.
         call = EndpointCall(
-            batch, self.connections, self.clock, self.log_clock, self.send_deadline, self.update_endpoint_list
+            batch,
+            self.connections,
+            self.clock,
+            self.log_clock,
+            self.send_deadline,
+            self.update_endpoint_list,
+            self.wait_until_recorded,
         )
         if len(batch.sends) > 1:
             self.tasks.start_soon(call.finish_expired_sends)
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -110,6 +110,7 @@
             report_fields=self._config.report_fields,
             send_deadline=self._router.send_deadline,
             update_endpoint_list=discovery.apply_available_updates,
+            wait_until_recorded=self._scheduler.wait_until_recorded,
             observer=self._activity,
         )
 
--- a/swiftthread/service/scheduler.py
+++ b/swiftthread/service/scheduler.py
@@ -16,6 +16,12 @@
 from swiftthread.routing.router import Router
 from swiftthread.service.pending_queues import EventDecision, PendingQueues
 
+# After a longer interval between two cycles, what has arrived since is read before anything is decided: the
+# process may have stood still. Calls within 100 ms of a Retry-After are tolerated.
+MAX_CYCLE_GAP_MS = 50.0
+# Number of event loop iterations for that. A response passes through fewer tasks before it is recorded.
+READ_ITERATIONS = 8
+
 Result = TypeVar("Result")
 
 
@@ -68,6 +74,7 @@
         self._wakeup = anyio.Event()
         self._is_cycle_requested = False
         self._sleeping_until = -math.inf  # a time in ms; -inf while not sleeping
+        self._latest_cycle_at = -math.inf  # in ms
 
     async def wait_for_cycle(self) -> float:
         """Wait for the start of the next cycle, in which the caller may update the router.
@@ -80,6 +87,11 @@
         self._wakeup.set()
         return await waiter.wait()
 
+    async def wait_until_recorded(self) -> None:
+        """Wait until the router has been told of the outcomes that had arrived when this was called."""
+        await self.wait_for_cycle()
+        await checkpoint()  # the other tasks that waited for the same cycle run, too
+
     async def wait_for_decision(self, event: Event) -> Send | Reject | Abandon:
         """Queue an event and wait until the router has decided it.
 
@@ -121,7 +133,9 @@
         while True:
             try:
                 await self._sleep()
+                await self._read_after_gap()
                 now = self._clock()
+                self._latest_cycle_at = now
                 decided_count = await self._run_cycle(now, before_decisions)
                 on_cycle(now, decided_count, delay_ms)
             except Exception:  # keeps the node running: the next scheduling cycle retries all events
@@ -145,6 +159,12 @@
             await self._wakeup.wait()
         self._sleeping_until = -math.inf
 
+    async def _read_after_gap(self) -> None:
+        # Let the tasks that read from connections run, if the process may have stood still.
+        if self._clock() - self._latest_cycle_at > MAX_CYCLE_GAP_MS:
+            for _ in range(READ_ITERATIONS):
+                await checkpoint()
+
     async def _run_cycle(self, now: float, before_decisions: Callable[[], None]) -> int:
         # Let waiting tasks update the router, then decide events; returns how many were decided.
         waiters = self._cycle_waiters
--- a/tests/client/test_endpoint_call.py
+++ b/tests/client/test_endpoint_call.py
@@ -27,7 +27,13 @@
         send = batch.add(SimpleNamespace(router_event=None), monotonic_ms() + 5000.0, False)
         connections = EndpointConnections(BufferPool(), addresses, 1500.0, Activity())
         await EndpointCall(
-            batch, connections, monotonic_ms, monotonic_ms, lambda *_: math.inf, addresses.clear
+            batch,
+            connections,
+            monotonic_ms,
+            monotonic_ms,
+            lambda *_: math.inf,
+            addresses.clear,
+            anyio.lowlevel.checkpoint,
         ).run()
         return send.result.outcome
 
--- a/tests/client/test_health_check.py
+++ b/tests/client/test_health_check.py
@@ -31,6 +31,7 @@
             report_fields=(),
             send_deadline=None,
             update_endpoint_list=lambda: None,
+            wait_until_recorded=anyio.lowlevel.checkpoint,
             observer=Activity(),
         )
 
