A local agent is asked again at once when a long watch ends

What callers would see: after a watch broke, the node sent by its list for 0.1 to 0.3 s more before it asked again, while what the agent has counts as told whether or not a watch is open; the grace of drains is 0.25 s in some settings.

Cause: routing/list_polling.py counted the pause before a repeated request from the failure, also when the watch had lasted for long.

Change: for a local agent the pause counts from the latest request, so a long watch is followed by a request at once and short ones still by 0.1 to 0.3 s. A discovery service that all nodes share keeps its pause and its backoff: there all watches can break together.

--- a/swiftthread/routing/list_polling.py
+++ b/swiftthread/routing/list_polling.py
@@ -23,8 +23,13 @@
     def __init__(self, settings: Settings, jitter: Jitter) -> None:
         self.jitter = jitter
         self.next_request_at = 0.0 if settings.polls_discovery else math.inf
+        self.requested_at: float | None = None
+        """Time (ms) of the latest request; None before the first."""
         self.initial_backoff_ms = AGENT_BACKOFF_MS
         self.max_backoff_ms = AGENT_BACKOFF_MS
+        # A local agent is asked again at once when a long watch ends: until it answers, the node sends by a
+        # list that may be older than the agent's.
+        self.counts_pause_from_request = not settings.polls_discovery
         if settings.polls_discovery:
             self.initial_backoff_ms = DISCOVERY_BACKOFF_MS
             # A node that polls within this time is not expected to know changes that it has not received yet.
@@ -32,6 +37,10 @@
             self.max_backoff_ms = max(DISCOVERY_BACKOFF_MS, max_mean_backoff_ms)
         self.backoff_ms = self.initial_backoff_ms
 
+    def record_request(self, now: float) -> None:
+        """Record that the list is requested."""
+        self.requested_at = now
+
     def record_list_received(self) -> None:
         """Reset the backoff, because a list was received."""
         self.backoff_ms = self.initial_backoff_ms
@@ -42,7 +51,10 @@
         # to its load: if requests are repeated sooner than it can respond to all of them, it keeps rejecting
         # them or responding too late.
         jitter_factor = self.jitter.uniform(1 - BACKOFF_SPREAD, 1 + BACKOFF_SPREAD)
-        self.next_request_at = now + self.backoff_ms * jitter_factor
+        pause_began_at = now
+        if self.counts_pause_from_request and self.requested_at is not None:
+            pause_began_at = self.requested_at
+        self.next_request_at = max(now, pause_began_at + self.backoff_ms * jitter_factor)
         self.backoff_ms = min(2 * self.backoff_ms, self.max_backoff_ms)
         return self.next_request_at
 
--- a/swiftthread/routing/router.py
+++ b/swiftthread/routing/router.py
@@ -141,6 +141,10 @@
         for endpoint in self.endpoint_list.apply(entries, is_complete, now):
             self.health.remove_endpoint(endpoint)
 
+    def record_list_request(self, now: float) -> None:
+        """Record that the endpoint list is requested."""
+        self.list_polling.record_request(now)
+
     def record_list_request_failure(self, now: float) -> float:
         """Record that a request for the endpoint list failed, and return when to make the next request."""
         return self.list_polling.record_failure(now)
--- a/swiftthread/service/list_follower.py
+++ b/swiftthread/service/list_follower.py
@@ -45,6 +45,7 @@
     async def run(self) -> None:
         """Keep a discovery watch open; after a failure the router determines when to open the next one."""
         while True:
+            self._router.record_list_request(self._clock())
             if not await self._discovery.watch(self._apply_update):
                 continue
             retry_at = self._router.record_list_request_failure(self._clock())
--- a/tests/routing/test_list_polling.py
+++ b/tests/routing/test_list_polling.py
@@ -91,3 +91,19 @@
     node = Router(Settings(max_list_request_pause_ms=10000.0), 1)
     pauses = [node.record_list_request_failure(0.0) for _ in range(50)]
     assert max(pauses) <= 300.0 and max(pauses) - min(pauses) > 100.0
+
+
+def test_a_local_agent_is_asked_again_at_once_after_a_long_watch_but_not_after_a_short_one():
+    """Guards against 0.3 s in which a node sends by its list although the agent could tell a newer one."""
+    node = Router(Settings(), 1)
+    node.record_list_request(0.0)
+    node.apply_endpoint_list([], True, 5.0)
+    assert node.record_list_request_failure(10_000.0) == 10_000.0
+    node.record_list_request(10_000.0)
+    assert 10_100.0 <= node.record_list_request_failure(10_001.0) <= 10_300.0
+
+
+def test_a_discovery_service_that_all_nodes_share_is_asked_after_a_pause_however_long_the_watch():
+    node = Router(Settings(polls_discovery=True, max_list_request_pause_ms=10000.0), 1)
+    node.record_list_request(0.0)
+    assert node.record_list_request_failure(60_000.0) >= 60_500.0
