A health check does not go to an endpoint that left while its connection was opened

Cause: client/endpoint_client.py opened the connection of a health check, which may take a second, and wrote the request without another look at the list: at a removed endpoint, or at one of another destination that had taken the address (its response was ignored already).

Change: right before the request the list changes that have arrived are applied, and the check ends if the endpoint has moved or is not ready. The other tests of health checks use an endpoint that is ready, as it is in service.

Result: the new test fails without the check for both changes (requests != []) and passes now.

--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -10,7 +10,7 @@
 
 from swiftthread.client.batch import Batch
 from swiftthread.client.endpoint_call import Clock, EndpointCall, SendDeadline
-from swiftthread.client.endpoint_connections import EndpointConnections
+from swiftthread.client.endpoint_connections import EndpointAddress, EndpointConnections
 from swiftthread.client.endpoint_request import HOST_HEADER
 from swiftthread.client.endpoint_response import parse_load_report, read_results
 from swiftthread.client.http_exchange import HttpRequest, HttpResponse, exchange
@@ -113,6 +113,12 @@
         for send, result in zip(batch.sends, results, strict=True):
             send.finish(result)
 
+    def _check_still_listed(self, endpoint: Endpoint, target: EndpointAddress) -> None:
+        # Raises ConnectionClosed if the endpoint has left or moved while the connection was established.
+        self.update_endpoint_list()
+        if not endpoint.is_ready or self.connections.address_of(endpoint) != target:
+            raise ConnectionClosed(False)
+
     async def check_health(self, endpoint: Endpoint) -> SendResult:
         """Make a health check; return its outcome, its latency and the load report, if there is one."""
         started_at = self.clock()
@@ -124,6 +130,7 @@
         try:
             with anyio.move_on_after(self.connect_timeout_ms / 1000.0) as deadline_scope:
                 connection = await self.connections.open(target)
+                self._check_still_listed(endpoint, target)
                 await exchange(connection, request, response, deadline_scope)
         except ConnectionClosed:
             outcome = SendOutcome.UNREACHABLE
--- a/tests/client/test_health_check.py
+++ b/tests/client/test_health_check.py
@@ -21,6 +21,8 @@
         self.server = FakeHttpServer(respond)
         host, port = self.server.address.split(":")
         self.addresses = {"a": (host, int(port))}
+        self.endpoint = Endpoint("a", 0, Destination(0), 0)
+        self.endpoint.is_ready = True
         self.client = EndpointClient(
             tasks=None,
             buffers=BufferPool(),
@@ -37,7 +39,7 @@
 
     def check_health(self):
         """Returns the outcome of a health check."""
-        return anyio.run(self.client.check_health, Endpoint("a", 0, Destination(0), 0)).outcome
+        return anyio.run(self.client.check_health, self.endpoint).outcome
 
 
 @pytest.mark.parametrize("address_changes, expected", [(False, "acked"), (True, "timed out")])
@@ -51,6 +53,22 @@
     assert client.check_health() == expected
 
 
+@pytest.mark.parametrize("change", ["moves", "drains"])
+def test_an_endpoint_that_leaves_while_the_connection_is_established_gets_no_health_check(change):
+    """Guards against a health check at an address that an unread list change has taken from the endpoint."""
+    requests = []
+    client = ClientOfOneEndpoint(lambda *request: (requests.append(request), (200, [], b""))[1])
+
+    def apply_change():
+        if change == "moves":
+            client.addresses["a"] = ("127.0.0.1", 1)
+        else:
+            client.endpoint.is_ready = False
+
+    client.client.update_endpoint_list = apply_change
+    assert client.check_health() == "unreachable" and requests == []
+
+
 def test_a_copy_of_an_earlier_response_does_not_end_a_health_check():
     def respond(*_request):
         if checked.is_set():
