A watch that a local agent does not answer is opened again after 1.5 s

Change: a watch of a local agent that has delivered no line for 1.5 s, the time for any answer of the platform, is closed and another is opened. A discovery service that all nodes share may answer late and keeps the 4.2 s.

--- a/swiftthread/client/discovery_client.py
+++ b/swiftthread/client/discovery_client.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -31,6 +32,7 @@
         zone_numbers: Mapping[str, int],
         idle_timeout_ms: float,
         connect_timeout_ms: float,
+        first_line_timeout_ms: float = math.inf,
     ) -> None:
         self.address = address
         """Address of discovery, as (host, port)."""
@@ -43,6 +45,8 @@
         """
         self.connect_timeout_ms = connect_timeout_ms
         """How long connecting may take."""
+        self.first_line_timeout_ms = first_line_timeout_ms
+        """How long a new watch may deliver nothing; an agent on this machine answers at once."""
         # `kind_numbers` has the numbers of the endpoint kinds in the settings, by name; `zone_numbers` has
         # the numbers of the zones in the settings, by name.
         self.endpoint_list = EndpointList(kind_numbers, zone_numbers)
@@ -91,7 +95,7 @@
                 connection = await connect(self.address, self.buffers, client_parser())
             await self._request_watch(connection)
             self._open_watch = ListWatch(connection, self.endpoint_list, on_update)
-            await self._open_watch.run(self.idle_timeout_ms)
+            await self._open_watch.run(self.idle_timeout_ms, self.first_line_timeout_ms)
         except (ConnectionClosed, TimeoutError):
             logger.info(
                 "discovery {}:{}: the watch was closed or timed out; another one is opened", host, port
--- a/swiftthread/client/list_watch.py
+++ b/swiftthread/client/list_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -41,11 +42,12 @@
         self._latest_at = anyio.current_time()
         self._error: Exception | None = None
 
-    async def run(self, idle_timeout_ms: float) -> None:
+    async def run(self, idle_timeout_ms: float, first_line_timeout_ms: float = math.inf) -> None:
         """Pass on updates until the response ends.
 
         Raises:
-            TimeoutError: Neither an empty line nor a complete list document arrived for `idle_timeout_ms`.
+            TimeoutError: Neither an empty line nor a complete list document arrived for `idle_timeout_ms`,
+                or no line at all for `first_line_timeout_ms`.
             ConnectionClosed: The connection was closed, or the bytes are not HTTP.
             MalformedEndpointList: A list has an unreadable entry and the complete list is to be requested.
             ValueError: The lines are no list documents.
@@ -56,7 +58,8 @@
                 raise self._error
             if self._lines.is_at_end:
                 return
-            await self._wait_until_readable(self._latest_at + idle_timeout_ms / 1000.0)
+            timeout_ms = min(idle_timeout_ms, first_line_timeout_ms if self._is_first_line else math.inf)
+            await self._wait_until_readable(self._latest_at + timeout_ms / 1000.0)
 
     def apply_available(self) -> None:
         """Pass on the updates that have arrived, without waiting."""
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from swiftthread.client.discovery_client import DiscoveryClient
@@ -97,8 +98,13 @@
             zone_numbers=self._config.setting_numbers.zone_numbers,
             idle_timeout_ms=WATCH_IDLE_TIMEOUT_MS,
             connect_timeout_ms=PLATFORM_RESPONSE_TIMEOUT_MS,
+            first_line_timeout_ms=self._first_line_timeout_ms(),
         )
 
+    def _first_line_timeout_ms(self) -> float:
+        # A discovery service that all nodes share may answer late; an agent on this machine does not.
+        return math.inf if self._config.settings.polls_discovery else PLATFORM_RESPONSE_TIMEOUT_MS
+
     def _build_endpoint_client(self, discovery: DiscoveryClient) -> EndpointClient:
         return EndpointClient(
             tasks=self._tasks,
--- a/tests/node/test_restart_endpoint_list.py
+++ b/tests/node/test_restart_endpoint_list.py
@@ -66,6 +66,20 @@
     assert "by the endpoint list of the configuration, which discovery has not confirmed" in log
 
 
+def test_a_watch_that_a_local_agent_does_not_answer_is_opened_again_soon(tmp_path):
+    """Events wait for the first answer after a restart; a silent watch cost them 4.2 s."""
+    endpoint = FakeEndpoint()
+    with NodeProcess(tmp_path, endpoint) as node:
+        node.stop()
+        node.discovery.targets.clear()
+        node.discovery.answers_watches.clear()
+        node.start()
+        wait_until(lambda: node.discovery.targets)
+        asked_at = time.monotonic()
+        wait_until(lambda: len(node.discovery.targets) == 2)
+        assert time.monotonic() - asked_at < 3.0
+
+
 def test_an_empty_first_line_of_the_watch_confirms_the_list_of_the_configuration(tmp_path):
     """Discovery sends an empty line as long as nothing changes, so no list need follow."""
     endpoint = FakeEndpoint()
