An event that waits again for discovery's answer is looked at again in time

Cause: while discovery is silent after a restart, the wait of an event depends on its destination's queue. When the queue shrinks, an event whose wait was over waits again, but its timer stood at its end, and its queue is that of more urgent events with more time: it could end without an attempt.

Change: until the list is confirmed the timer of every event is at most 250 ms ahead.

--- a/swiftthread/routing/router.py
+++ b/swiftthread/routing/router.py
@@ -260,11 +260,14 @@
 
     def deadline(self, event: Event, now: float) -> float:
         """Return when a waiting event is to be decided at the latest."""
-        # Events that wait for a confirmed list end their wait at different times, whatever their queue.
+        # Events that wait for a confirmed list end their wait at different times, whatever their queue. A
+        # queue that grows ends a wait earlier, one that shrinks can begin it again.
+        give_up_at = self.retry_rules.give_up_at(event)
+        if self.is_list_confirmed:
+            return give_up_at
         held_until = self._held_until(event, now)
-        if held_until > now:
-            return min(held_until, now + RECHECK_INTERVAL_MS)
-        return self.retry_rules.give_up_at(event)
+        wait_ends_at = held_until if held_until > now else math.inf
+        return min(give_up_at, wait_ends_at, now + RECHECK_INTERVAL_MS)
 
     def is_safe_to_reject(self, event: Event) -> bool:
         """Return whether a client may resubmit the event without the risk of a second effect."""
--- a/tests/routing/test_list_confirmation.py
+++ b/tests/routing/test_list_confirmation.py
@@ -107,6 +107,19 @@
     assert None not in times and 3300.0 < min(times) < 3500.0
 
 
+def test_an_event_that_waits_again_after_its_queue_has_shrunk_is_not_forgotten_until_its_end():
+    """It would be in the queue of events that wait no longer, behind more urgent ones with more time."""
+    router = router_with_cached_list(listed_rate=1.0, listed_rates="nominal")
+    event, *others = [router.add_event(0.0, 0, 0, TIME_LEFT_MS) for _ in range(9)]
+    now = GIVE_UP_AT / 2
+    assert not router.queue_key(event, now)[-1] and router.deadline(event, now) <= now + 250.0
+    for other in others:
+        router.withdraw(other, now)
+    assert router.queue_key(event, now)[-1] and isinstance(router.decide(event, now), Defer)
+    router.apply_endpoint_list([], False, now)
+    assert router.deadline(event, now) == GIVE_UP_AT
+
+
 def test_a_router_that_never_had_a_cached_list_holds_nothing_back():
     """A call in the simulator names its endpoint by id, so no address can pass to another endpoint."""
     router = Router(Settings(stream_types=STREAM_TYPES), 7)
