Only a node with calls in flight waits for responses after a gap between cycles

Without a call in flight no response can have arrived, and list changes are read without waiting. A node of little traffic, whose cycles are often further apart than 50 ms, no longer runs eight event loop iterations for nothing.

--- a/swiftthread/service/scheduler.py
+++ b/swiftthread/service/scheduler.py
@@ -16,8 +16,8 @@
 from swiftthread.routing.router import Router
 from swiftthread.service.pending_queues import EventDecision, PendingQueues
 
-# After a longer interval between two cycles, what has arrived since is read before anything is decided: the
-# process may have stood still. Calls within 100 ms of a Retry-After are tolerated.
+# After a longer interval between two cycles, responses that have arrived are recorded before anything is
+# decided: the process may have stood still. Calls within 100 ms of a Retry-After are tolerated.
 MAX_CYCLE_GAP_MS = 50.0
 # Number of event loop iterations for that. A response passes through fewer tasks before it is recorded.
 READ_ITERATIONS = 8
@@ -160,8 +160,8 @@
         self._sleeping_until = -math.inf
 
     async def _read_after_gap(self) -> None:
-        # Let the tasks that read from connections run, if the process may have stood still.
-        if self._clock() - self._latest_cycle_at > MAX_CYCLE_GAP_MS:
+        # Let the tasks that read responses run, if the process may have stood still.
+        if self._router.calls_in_flight and self._clock() - self._latest_cycle_at > MAX_CYCLE_GAP_MS:
             for _ in range(READ_ITERATIONS):
                 await checkpoint()
 
