Tests of late connections: the accept that has begun ends before the queue is filled

The fake endpoint's accept thread takes one connection out of the filled queue; on a busy machine it could do so after the second filling, and the node's connection would have been established at once. A comment on deadlines that the router has extended is restored.

--- a/swiftthread/service/pending_queues.py
+++ b/swiftthread/service/pending_queues.py
@@ -168,6 +168,7 @@
             if not is_deadline:
                 if self.group_of[event] is None:
                     self._enqueue(event, now)
+            # The deadline may have been extended since its timer was started, or may be by the decision.
             elif self.router.deadline(event, now) > now or isinstance(self._decide(event, now), Defer):
                 self._extend_deadline(event, now)
 
--- a/tests/node/test_unread_list_changes.py
+++ b/tests/node/test_unread_list_changes.py
@@ -46,8 +46,7 @@
     old, new = GatedEndpoint(), FakeEndpoint(ident="s-new")
     with NodeProcess(tmp_path, old, Permissions={"ConnectTimeout": 4.0}) as node:
         wait_until(lambda: node.discovery.watches)
-        for _ in range(2):  # an accept that has begun takes one connection out of the full queue
-            old.stop_accepting()
+        old.stop_accepting_at_once()
         assert node.submit() == 202
         wait_until(lambda: b'O["evt-1"' in node.log_path().read_bytes())
 
--- a/tests/node/test_unread_responses.py
+++ b/tests/node/test_unread_responses.py
@@ -50,8 +50,7 @@
     """Guards against the first byte of a call that was decided before, with the Retry-After unread."""
     endpoint, connecting = RejectingEndpoint(), GatedEndpoint(ident="s-2")
     with NodeProcess(tmp_path, endpoint, connecting, Permissions={"ConnectTimeout": 4.0}) as node:
-        for _ in range(2):  # an accept that has begun takes one connection out of the full queue
-            connecting.stop_accepting()
+        connecting.stop_accepting_at_once()
         assert [node.submit() for _ in range(2)] == [202] * 2
         wait_until(lambda: endpoint.calls and b'O["evt-2"' in node.log_path().read_bytes())
         connecting.resume_accepting()
--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -219,6 +219,13 @@
             if not select.select([], [sock], [], 0.05)[1]:
                 return
 
+    def stop_accepting_at_once(self):
+        """Like `stop_accepting`, before any connection: the accept that has begun has ended on return."""
+        self.stop_accepting()
+        while not self.accepted:  # it takes one connection out of the full queue
+            time.sleep(0.001)
+        self.stop_accepting()
+
     def resume_accepting(self):
         """Empty the accept queue, and accept connections again."""
         while self.queue_fillers:
