A node without a list at its start also logs when discovery first answers

Without known in the configuration, or with one that cannot be parsed, the router took its empty list for confirmed, and the log said nothing of a silent discovery. It is unconfirmed now; there is nothing to hold back, as no endpoint is known.

--- a/swiftthread/service/list_follower.py
+++ b/swiftthread/service/list_follower.py
@@ -30,17 +30,17 @@
 
     def apply_cached_list(self, document: dict[str, Any] | None) -> None:
         """Use the endpoint list of the configuration until discovery confirms it or sends another."""
-        if not document:
-            return
+        entries: list[EndpointEntry] = []
         try:
-            entries, _ = self._discovery.apply_list(document)
-            self._router.apply_cached_endpoint_list(entries, self._clock())
+            if document:
+                entries, _ = self._discovery.apply_list(document)
         except PARSE_ERRORS as error:
             logger.warning(
                 "the endpoint list (known) in the configuration is invalid ({}); "
                 "the node waits for the list from discovery",
                 error,
             )
+        self._router.apply_cached_endpoint_list(entries, self._clock())
 
     async def run(self) -> None:
         """Keep a discovery watch open; after a failure the router determines when to open the next one."""
@@ -76,7 +76,7 @@
             return
         logger.warning(
             "discovery has not answered for {:.1f} s since the start; {} events are pending, "
-            "and the endpoint list is that of the configuration (version {})",
+            "and the endpoint list is that of the configuration (version {}, 0 for none)",
             (self._clock() - self._started_at) / 1000.0,
             self._router.pending_count,
             self._discovery.endpoint_list.version,
