--- a/swiftthread/routing/router.py
+++ b/swiftthread/routing/router.py
@@ -72,7 +72,7 @@
         self.recovery = RecoveryPacing(settings, self.jitter)
         self.endpoint_list = EndpointList(settings, self.recovery)
         self.list_polling = ListPolling(settings, self.jitter)
-        self.list_confirmation = ListConfirmation()
+        self.list_confirmation = ListConfirmation(settings.max_calls_in_flight)
         self.quotas = TenantQuotas(settings)
         self.pending = PendingCapacity(settings, self.endpoint_list.destinations)
         self.ordering = OrderingQueues(settings.ordering_pause_ms)
@@ -396,7 +396,7 @@
         # The later events of its ordering key cannot be sent before it.
         events = (event, *self.ordering.pending_events(event.ordering_key))
         give_up_at = min(map(self.retry_rules.give_up_at, events))
-        return self.list_confirmation.held_until(event, give_up_at, now)
+        return self.list_confirmation.held_until(event, give_up_at, self.pending_count, now)
 
     def _must_shed(self, event: Event) -> bool:
         # Return whether to reject an event because the node is over capacity.
