--- a/tests/client/test_endpoint_list.py
+++ b/tests/client/test_endpoint_list.py
@@ -52,6 +52,15 @@
     return {endpoint_id for endpoint_id, endpoint in router.endpoints.items() if endpoint.is_ready}
 
 
+def test_an_address_that_passes_to_another_destination_is_not_called_for_the_first_one(endpoint_list):
+    """Guards against events sent to another destination when an addition is told before the removal."""
+    taker = {"version": 4, "full": False, "servers": [ENTRY | {"id": "s-3", "cell": 7}]}
+    old_drains = {"version": 5, "full": False, "servers": [ENTRY | {"state": "DRAINING"}]}
+    ready = ready_endpoint_ids(endpoint_list, DOCUMENT, taker)
+    assert "s-3" in ready and "s-1" not in ready
+    assert "s-3" in ready_endpoint_ids(endpoint_list, DOCUMENT, taker, old_drains)
+
+
 FIRST_DRAINS = {"version": 5, "full": False, "servers": [ENTRY | {"state": "DRAINING"}]}
 FIRST_IS_DELETED = {"version": 5, "full": False, "servers": [ENTRY | {"state": "DELETED"}]}
 SECOND_DRAINS = {"version": 4, "full": False, "servers": [ENTRY | {"id": "s-2", "state": "DRAINING"}]}
