--- a/swiftthread/lab/cli/__init__.py
+++ b/swiftthread/lab/cli/__init__.py
@@ -8,7 +8,7 @@
 
 from swiftthread.lab.cli.folder_commands import judge, report
 from swiftthread.lab.cli.incident_commands import check, list_incidents, show
-from swiftthread.lab.cli.process_commands import clients, emulate, relay
+from swiftthread.lab.cli.process_commands import clients, crowd, emulate, relay
 from swiftthread.lab.cli.run_commands import compare, limits, matrix, run, soak
 
 
@@ -24,6 +24,7 @@
     check,
     clients,
     compare,
+    crowd,
     emulate,
     judge,
     limits,
--- a/swiftthread/lab/cli/process_commands.py
+++ b/swiftthread/lab/cli/process_commands.py
@@ -4,11 +4,14 @@
 import gc
 from pathlib import Path
 
+import anyio
 import click
 
 from swiftthread.lab import incident_file
 from swiftthread.lab.cli.support import load_incident
+from swiftthread.lab.crowd import Crowd, CrowdKind, CrowdTarget
 from swiftthread.lab.incident import Incident
+from swiftthread.network.address import parse_address
 
 
 def _load_toml_or_json(path: str) -> Incident:
@@ -56,6 +59,25 @@
     asyncio.run(load.serve(incident, seed, part, incident.load.processes, rows))
 
 
+@click.command()
+@click.argument("address")
+@click.option("--kind", type=click.Choice([kind.value for kind in CrowdKind]), required=True)
+@click.option(
+    "--clients", "client_count", type=int, default=600, show_default=True, help="Number of clients."
+)
+@click.option("--seconds", type=float, default=5.0, show_default=True, help="How long the crowd stays.")
+@click.option("--stream", default="status", show_default=True, help="A stream type of idempotent events.")
+@click.option("--destination", type=int, default=1, show_default=True, help="An existing destination.")
+@click.option("--seed", type=int, default=1, show_default=True)
+def crowd(
+    address: str, kind: str, client_count: int, seconds: float, stream: str, destination: int, seed: int
+) -> None:
+    """Run many clients of one kind against the node at ADDRESS (host:port)."""
+    host, port = parse_address(address)
+    clients_of_kind = Crowd(CrowdKind(kind), client_count, CrowdTarget(host, port, stream, destination), seed)
+    anyio.run(clients_of_kind.run, seconds)
+
+
 @click.command(hidden=True)
 @click.argument("kind", type=click.Choice(["once", "backoff", "aimd", "floor"]))
 def relay(kind: str) -> None:
