--- a/swiftthread/service/startup.py
+++ b/swiftthread/service/startup.py
@@ -13,11 +13,10 @@
 from swiftthread.service.limits import Limits
 from swiftthread.service.reload import reload_config
 from swiftthread.service.shutdown import begin_shutdown
+from swiftthread.signals import SIGNALS
 from swiftthread.storage.log_clock import LogClock
 from swiftthread.storage.write_ahead_log import WriteAheadLog
 
-SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
-
 
 async def serve(config: NodeConfig) -> None:
     """Run one node; SIGTERM and SIGINT shut it down in the time before SIGKILL, SIGHUP reloads."""
--- a/tests/lab/test_emulator.py
+++ b/tests/lab/test_emulator.py
@@ -312,7 +312,7 @@
         [
             sys.executable,
             "-c",
-            "import swiftthread.__main__, sys; print([m for m in sys.modules if "
+            "import swiftthread.__main__, swiftthread.service.program, sys; print([m for m in sys.modules if "
             "'swiftthread.lab' in m or m in ('msgspec', 'click', 'numpy', 'httptools')])",
         ],
         capture_output=True,
