One account bounds the memory that clients make a node hold; connections have no tasks

Callers saw: beside crowds of clients a process passed its memory limit and was killed, and ordinary clients got no answer for seconds. Cause: limits on descriptors and on bodies of pending events alone; connections (10 KB each), incomplete heads and bodies, parsed fields and events without a body (8 KB) counted toward nothing, and a head was parsed before its cost was looked at.

Change: memory_account.py divides what memory_mb leaves after the start among connections, incomplete requests, events, responses and the endpoint list. Where a request does not fit, the incomplete one that holds most gets a 503; a connection's events may hold as much as is still free. Number of fields (431), size, chunks and framing are checked on the raw bytes (server/request_parser.py). A connection has no task and no parser between requests; it takes turns of one buffer and one request (server/http_server.py). Clients that wait are accepted sixteen at a time. At the end of a shutdown the listener's queue is accepted only as far as there is capacity.

--- a/swiftthread/client/discovery_client.py
+++ b/swiftthread/client/discovery_client.py
@@ -16,7 +16,8 @@
 from swiftthread.client.list_watch import ListWatch, UpdateCallback
 from swiftthread.network.address import Address
 from swiftthread.network.buffer_pool import BufferPool
-from swiftthread.network.connection import Connection, ConnectionClosed, connect
+from swiftthread.network.connection import Connection, connect
+from swiftthread.network.tcp_connection import ConnectionClosed
 
 
 class DiscoveryClient:
--- a/swiftthread/client/endpoint_call.py
+++ b/swiftthread/client/endpoint_call.py
@@ -15,7 +15,8 @@
 from swiftthread.client.endpoint_response import CompletedCall
 from swiftthread.client.http_exchange import HttpResponse, encode_request, receive
 from swiftthread.client.send_result import SendResult
-from swiftthread.network.connection import Connection, ConnectionClosed
+from swiftthread.network.connection import Connection
+from swiftthread.network.tcp_connection import ConnectionClosed
 from swiftthread.routing.messages import SendOutcome
 
 if TYPE_CHECKING:
--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -17,8 +17,9 @@
 from swiftthread.client.send_result import SendResult
 from swiftthread.network.address import Address
 from swiftthread.network.buffer_pool import BufferPool
-from swiftthread.network.connection import Connection, ConnectionClosed
+from swiftthread.network.connection import Connection
 from swiftthread.network.connection_observer import ConnectionObserver
+from swiftthread.network.tcp_connection import ConnectionClosed
 from swiftthread.routing.messages import Send, SendOutcome
 
 if TYPE_CHECKING:
--- a/swiftthread/client/endpoint_connections.py
+++ b/swiftthread/client/endpoint_connections.py
@@ -11,8 +11,9 @@
 from swiftthread.client.http_exchange import HttpResponse, client_parser
 from swiftthread.network.address import Address
 from swiftthread.network.buffer_pool import BufferPool
-from swiftthread.network.connection import Connection, ConnectionClosed, UnreadInput, connect
+from swiftthread.network.connection import Connection, connect
 from swiftthread.network.connection_observer import CloseReason, ConnectionObserver
+from swiftthread.network.tcp_connection import ConnectionClosed, UnreadInput
 
 if TYPE_CHECKING:
     from swiftthread.routing.endpoint import Endpoint
--- a/swiftthread/client/http_exchange.py
+++ b/swiftthread/client/http_exchange.py
@@ -12,7 +12,8 @@
 import anyio
 import h11
 
-from swiftthread.network.connection import Connection, ConnectionClosed
+from swiftthread.network.connection import Connection
+from swiftthread.network.tcp_connection import ConnectionClosed
 
 MAX_HEAD_BYTES = 32 * 1024  # first line and headers; responses of the specified protocols are far smaller
 MAX_BODY_BYTES = 64 * 1024  # limit of the protocol; a longer body, or a larger Content-Length, is malformed
--- a/swiftthread/client/json_stream.py
+++ b/swiftthread/client/json_stream.py
@@ -7,7 +7,8 @@
 
 import h11
 
-from swiftthread.network.connection import Connection, ConnectionClosed
+from swiftthread.network.connection import Connection
+from swiftthread.network.tcp_connection import ConnectionClosed
 
 MAX_OBJECT_BYTES = 4 * 1024 * 1024  # far more than the endpoint list of any fleet within the specified limits
 # Reads of one buffer each, 4 MiB in total, after which other tasks get to run.
--- a/swiftthread/client/list_watch.py
+++ b/swiftthread/client/list_watch.py
@@ -11,7 +11,8 @@
 
 from swiftthread.client.endpoint_list import EndpointList, MalformedEndpointList
 from swiftthread.client.json_stream import BodyLineReader, JsonAssembler
-from swiftthread.network.connection import Connection, ConnectionClosed
+from swiftthread.network.connection import Connection
+from swiftthread.network.tcp_connection import ConnectionClosed
 
 if TYPE_CHECKING:
     from swiftthread.routing.messages import EndpointEntry
--- a/swiftthread/client/result_notifier.py
+++ b/swiftthread/client/result_notifier.py
@@ -14,7 +14,8 @@
 
 from swiftthread.client.http_exchange import HttpRequest, HttpResponse, client_parser, exchange
 from swiftthread.network.buffer_pool import BufferPool
-from swiftthread.network.connection import Connection, ConnectionClosed, connect
+from swiftthread.network.connection import Connection, connect
+from swiftthread.network.tcp_connection import ConnectionClosed
 
 if TYPE_CHECKING:
     from swiftthread.storage.decision import Decision
--- a/swiftthread/server/admission_queue.py
+++ b/swiftthread/server/admission_queue.py
@@ -2,14 +2,13 @@
 
 # It stays unread until the node has capacity for it.
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
 import anyio
 
-from swiftthread.network.connection import Connection, ConnectionClosed
+from swiftthread.server.client_connection import ClientConnection
 
 # Both times apply to the longest waiting connection. A client waits 0.4 s for its response, including the
 # time that it takes to connect.
@@ -28,16 +27,14 @@
         """Return whether one more request may be read now, and count it if so."""
 
 
-@dataclass(slots=True, eq=False)
-class WaitingConnection:
-    """A connection whose request waits to be read."""
+@dataclass(slots=True)
+class Admission:
+    """The connections that leave the queue in one scheduling cycle."""
 
-    connection: Connection
-    waiting_since: float = field(default_factory=anyio.current_time)
-    """When the wait began, in s on the event loop's clock."""
-    wait_finished: anyio.Event = field(default_factory=anyio.Event)
-    client_gave_up: bool = False
-    """Whether the client has closed the connection; its request is then not read."""
+    admitted: list[ClientConnection] = field(default_factory=list)
+    """Their request may be read."""
+    given_up: list[ClientConnection] = field(default_factory=list)
+    """Their client has closed; the request is not read."""
 
 
 class AdmissionQueue:
@@ -48,48 +45,48 @@
         # scheduling cycle, during which `admit_waiting` is called.
         self._admission = admission
         self._request_cycle = request_cycle
-        self._waiting: deque[WaitingConnection] = deque()
+        # When each wait began, in s on the event loop's clock.
+        self._waiting_since: dict[ClientConnection, float] = {}
 
     def __len__(self) -> int:
-        return len(self._waiting)
-
-    async def wait(self, connection: Connection) -> None:
-        """Wait until the connection's request may be read.
-
-        Raises:
-            ConnectionClosed: The client gave up.
-        """
-        if not self._waiting and self._admission.try_admit():
-            return
-        waiting = WaitingConnection(connection)
-        self._waiting.append(waiting)
+        return len(self._waiting_since)
+
+    def try_admit(self, connection: ClientConnection) -> bool:
+        """Return whether the connection's request may be read now; if not, the connection waits."""
+        if connection in self._waiting_since:
+            return False
+        if not self._waiting_since and self._admission.try_admit():
+            return True
+        self._waiting_since[connection] = anyio.current_time()
         self._request_cycle()
-        try:
-            await waiting.wait_finished.wait()
-        finally:
-            if not waiting.wait_finished.is_set():
-                self._waiting.remove(waiting)
-        if waiting.client_gave_up:
-            raise ConnectionClosed(request_was_written=True)
-
-    def admit_waiting(self) -> None:
-        """Admit as many waiting connections as may be read in this scheduling cycle."""
+        return False
+
+    def remove(self, connection: ClientConnection) -> None:
+        """Remove a connection that was closed, if it waits."""
+        self._waiting_since.pop(connection, None)
+
+    def admit_waiting(self) -> Admission:
+        """Take as many connections out of the queue as may be read in this scheduling cycle."""
         # The longest waiting connection is admitted first. Once its client is about to give up, the newest is
         # admitted first instead: in order of arrival, every request would be read just too late. Connections
         # whose clients have given up are removed unread.
+        result = Admission()
         now = anyio.current_time()
-        self._remove_given_up(now)
-        while self._waiting and self._admission.try_admit():
-            is_newest_first = now - self._waiting[0].waiting_since > NEWEST_FIRST_AFTER_S
-            waiting = self._waiting.pop() if is_newest_first else self._waiting.popleft()
-            waiting.wait_finished.set()
-
-    def _remove_given_up(self, now: float) -> None:
-        while (
-            self._waiting
-            and now - self._waiting[0].waiting_since > GIVEN_UP_AFTER_S
-            and self._waiting[0].connection.peer_has_closed()
-        ):
-            waiting = self._waiting.popleft()
-            waiting.client_gave_up = True
-            waiting.wait_finished.set()
+        self._remove_given_up(now, result)
+        while self._waiting_since and self._admission.try_admit():
+            longest_waiting, waiting_since = next(iter(self._waiting_since.items()))
+            if now - waiting_since > NEWEST_FIRST_AFTER_S:
+                connection, _ = self._waiting_since.popitem()
+            else:
+                connection = longest_waiting
+                del self._waiting_since[connection]
+            result.admitted.append(connection)
+        return result
+
+    def _remove_given_up(self, now: float, result: Admission) -> None:
+        while self._waiting_since:
+            connection, waiting_since = next(iter(self._waiting_since.items()))
+            if now - waiting_since <= GIVEN_UP_AFTER_S or not connection.peer_has_closed():
+                return
+            del self._waiting_since[connection]
+            result.given_up.append(connection)
--- a/swiftthread/server/connection_table.py
+++ b/swiftthread/server/connection_table.py
@@ -8,7 +8,8 @@
 
 import anyio
 
-from swiftthread.network.connection import Connection, ConnectionClosed
+from swiftthread.network.tcp_connection import ConnectionClosed
+from swiftthread.server.client_connection import ClientConnection
 
 # A connection may be evicted once it has been in its state for this time. A client waits 0.4 s for its
 # response, including the time that it takes to connect.
@@ -16,6 +17,11 @@
 REQUEST_GRACE_S = 0.45  # by then, the client has given up
 
 
+# Time that a client has to close its side after the node has. Longer than the 0.4 s that a client waits for a
+# response.
+CLOSE_TIMEOUT_S = 0.5
+
+
 class ConnectionState(IntEnum):
     """State of an accepted connection."""
 
@@ -41,15 +47,15 @@
     """Holds the accepted connections, from the accept to the close."""
 
     def __init__(self) -> None:
-        self._state: dict[Connection, ConnectionState] = {}
+        self._state: dict[ClientConnection, ConnectionState] = {}
         # Indexed by state. Maps each connection to when it entered the state, in s on the event loop's clock;
         # the connection that has been in the state longest comes first.
-        self._entered_at: list[dict[Connection, float]] = [{} for _ in ConnectionState]
+        self._entered_at: list[dict[ClientConnection, float]] = [{} for _ in ConnectionState]
 
     def __len__(self) -> int:
         return len(self._state)
 
-    def state_of(self, connection: Connection) -> ConnectionState | None:
+    def state_of(self, connection: ClientConnection) -> ConnectionState | None:
         """Return the connection's state, or None once it is closed."""
         return self._state.get(connection)
 
@@ -57,20 +63,28 @@
         """Return how many connections are in a state."""
         return len(self._entered_at[state])
 
-    def in_state(self, state: ConnectionState) -> ItemsView[Connection, float]:
+    def in_state(self, state: ConnectionState) -> ItemsView[ClientConnection, float]:
         """Return the connections in a state and when each entered it, the earliest first."""
         return self._entered_at[state].items()
 
-    def inactive(self) -> list[tuple[Connection, float]]:
+    def all(self) -> list[ClientConnection]:
+        """Return all connections."""
+        return list(self._state)
+
+    def timed_out(self, now: float) -> list[ClientConnection]:
+        """Return the connections whose time-out has passed; `now` is on the event loop's clock, in s."""
+        return [connection for connection in self._state if connection.times_out_at <= now]
+
+    def inactive(self) -> list[tuple[ClientConnection, float]]:
         """Return the connections without a request in progress."""
         # Each is returned with the time at which it entered its state.
         return [entry for state in INACTIVE_STATES for entry in self._entered_at[state].items()]
 
-    def add(self, connection: Connection) -> None:
+    def add(self, connection: ClientConnection) -> None:
         """Add a connection that was just accepted."""
         self._enter(connection, ConnectionState.NEW)
 
-    def set_state(self, connection: Connection, state: ConnectionState) -> None:
+    def set_state(self, connection: ClientConnection, state: ConnectionState) -> None:
         """Change a connection's state.
 
         Raises:
@@ -80,17 +94,17 @@
             raise ConnectionClosed(request_was_written=True)
         self._enter(connection, state)
 
-    def close(self, connection: Connection) -> None:
+    def close(self, connection: ClientConnection) -> None:
         """Close a connection unless it is closed already."""
         if self._remove(connection):
             connection.close()
 
-    def begin_close(self, connection: Connection) -> None:
-        """Shut down the node's side of an inactive connection."""
-        # The connection's task then waits for the client to close. The client may have written a request in
-        # the meantime. It is not accepted, because its response could no longer be sent, and the client may
-        # submit it elsewhere.
+    def begin_close(self, connection: ClientConnection) -> None:
+        """Shut down the node's side of a connection."""
+        # The client may have written a request in the meantime. It is read and discarded, because its
+        # response could no longer be sent, and the client may submit it elsewhere.
         self.set_state(connection, ConnectionState.CLOSING)
+        connection.times_out_at = anyio.current_time() + CLOSE_TIMEOUT_S
         connection.shutdown_write()
 
     def begin_close_of_inactive(self, new_accepted_by: float) -> None:
@@ -141,11 +155,11 @@
             return math.inf  # a new connection is about to exceed its grace period and is evicted instead
         return 0.0
 
-    def _enter(self, connection: Connection, state: ConnectionState) -> None:
+    def _enter(self, connection: ClientConnection, state: ConnectionState) -> None:
         self._state[connection] = state
         self._entered_at[state][connection] = anyio.current_time()
 
-    def _remove(self, connection: Connection) -> bool:
+    def _remove(self, connection: ClientConnection) -> bool:
         state = self._state.pop(connection, None)
         if state is None:
             return False
--- a/swiftthread/server/messages.py
+++ b/swiftthread/server/messages.py
@@ -23,6 +23,16 @@
     """Time after which the client should resubmit; 0 if the response gives no advice."""
 
 
+class Submitter:
+    """The client connection on which events are submitted."""
+
+    __slots__ = ("pending_bytes",)
+
+    def __init__(self) -> None:
+        self.pending_bytes = 0
+        """Memory that its pending events take, also after the connection has closed."""
+
+
 class BadRequest(Exception):
     """A request must be answered with an error status."""
 
--- a/swiftthread/server/submission.py
+++ b/swiftthread/server/submission.py
@@ -32,7 +32,7 @@
     path: str
     """The request target without its query."""
     headers: dict[bytes, bytes]
-    """Header values by lower-case name; the last value if a name occurs several times."""
+    """Values of the headers that the server uses, by lower-case name."""
 
     def header(self, name: bytes) -> str:
         """Return the value of a header, or "" if the request does not have it."""
@@ -70,7 +70,8 @@
     if len(set(single_names)) < len(single_names):
         raise BadRequest(HttpStatus.BAD_REQUEST)
     path = request.target.decode("latin-1").partition("?")[0]
-    return RequestHead(request.method, path, dict(headers))
+    known_headers = {name: value for name, value in headers if name in SINGLE_VALUE_HEADERS}
+    return RequestHead(request.method, path, known_headers)
 
 
 def parse_submission(request: Request, stream_types: Container[str]) -> PendingEvent:
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -10,6 +10,7 @@
 from swiftthread.client.result_notifier import ResultNotifier
 from swiftthread.clocks import Clock, monotonic_ms
 from swiftthread.configuration.node_config import NodeConfig
+from swiftthread.memory_account import MemoryAccount, resident_bytes
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.routing.router import Router
 from swiftthread.server.http_server import HttpServer
@@ -59,6 +60,7 @@
         # The node's tasks run in this task group.
         self._tasks = tasks
         self._buffers = BufferPool()
+        self._memory = MemoryAccount(limits.memory_bytes, resident_bytes())
         self._activity = Activity()
         self._router = Router(config.settings, config.seed, self._activity, reuses_connections=False)
         self._scheduler = Scheduler(self._router, monotonic_ms, config.settings.scheduling_interval_ms)
@@ -73,6 +75,7 @@
         submissions = self._build_submissions(delivery)
         server = self._build_server(submissions)
         list_follower = self._build_list_follower(discovery)
+        self._memory.set_start_bytes(resident_bytes())
         return Node(
             router=self._router,
             scheduler=self._scheduler,
@@ -140,6 +143,7 @@
             tenant_numbers=self._config.setting_numbers.tenant_numbers,
             clock=monotonic_ms,
             log_clock=self._log_clock,
+            memory=self._memory,
             tasks=self._tasks,
         )
 
@@ -151,7 +155,7 @@
             delivery=delivery,
             activity=self._activity,
             stream_type_numbers=self._config.setting_numbers.stream_type_numbers,
-            max_pending_bytes=self._limits.max_pending_bytes,
+            memory=self._memory,
             clock=monotonic_ms,
             log_clock=self._log_clock,
         )
@@ -162,6 +166,7 @@
             stream_types=self._config.setting_numbers.stream_type_numbers,
             buffers=self._buffers,
             limits=self._limits,
+            memory=self._memory,
             log_clock=self._log_clock,
             first_request_timeout_ms=FIRST_REQUEST_TIMEOUT_MS,
             request_timeout_ms=REQUEST_TIMEOUT_MS,
--- a/swiftthread/service/delivery.py
+++ b/swiftthread/service/delivery.py
@@ -11,6 +11,7 @@
 from swiftthread.client.result_notifier import ResultNotifier
 from swiftthread.client.send_result import SendResult
 from swiftthread.clocks import Clock
+from swiftthread.memory_account import MemoryAccount, MemoryUse
 from swiftthread.routing.events import Event
 from swiftthread.routing.messages import NEVER_RAN, Abandon, Defer, Reject, Send, SendOutcome
 from swiftthread.routing.router import Router
@@ -25,6 +26,15 @@
 
 # Pause before the next write to a log that failed; several such pauses fit into a latency objective.
 LOG_RETRY_PAUSE_MS = 100.0
+# Memory of an event apart from its body: its task, its entries in the queues, the log's table and the router.
+EVENT_BYTES = 9 * 1024
+# An event's body is held twice while a call with it is in flight.
+COPIES_OF_BODY = 2
+
+
+def event_bytes(pending: PendingEvent) -> int:
+    """Return the memory that an event takes until its end."""
+    return EVENT_BYTES + COPIES_OF_BODY * len(pending.body)
 
 
 class EventDelivery:
@@ -43,10 +53,9 @@
         tenant_numbers: dict[str | None, int],
         clock: Clock,
         log_clock: Clock,
+        memory: MemoryAccount,
         tasks: TaskGroup,
     ) -> None:
-        self.pending_bytes = 0
-        """Total size of the bodies of the events in delivery."""
         self._router = router
         self._scheduler = scheduler
         self._log = log
@@ -57,6 +66,7 @@
         self._tenant_numbers = tenant_numbers
         self._clock = clock
         self._log_clock = log_clock
+        self._memory = memory
         self._tasks = tasks
 
     def add(self, pending: PendingEvent) -> Event:
@@ -87,9 +97,15 @@
             # After a reboot the clock may be behind, so the time of an attempt must not lie in the future.
             event.may_have_run_at = now - max(0.0, log_now - sent_at)
             event.may_have_run_group = group
-        self.pending_bytes += len(pending.body)
+        self._reserve_memory(pending, event_bytes(pending))
         return event
 
+    def _reserve_memory(self, pending: PendingEvent, size: int) -> None:
+        # Reserve memory for an event, or release it if `size` is negative.
+        self._memory.reserve(MemoryUse.EVENTS, size)
+        if pending.submitter is not None:
+            pending.submitter.pending_bytes += size
+
     def start(self, pending: PendingEvent, event: Event) -> None:
         """Deliver an event that was added to the router, in a separate task."""
         self._tasks.start_soon(self._run, pending, event)
@@ -131,7 +147,7 @@
         else:
             self._activity.acked_count += 1
             self._log.append_ended(pending)
-        self.pending_bytes -= len(pending.body)
+        self._reserve_memory(pending, -event_bytes(pending))
 
     async def _deliver(self, pending: PendingEvent, event: Event) -> None:
         # Make attempts until the event is acked or its final outcome is decided.
--- a/swiftthread/service/limits.py
+++ b/swiftthread/service/limits.py
@@ -44,12 +44,8 @@
 IDLE_CLIENT_SHARE = 0.125
 # Number of sockets per call slot, if the settings do not limit the calls in flight.
 SOCKETS_PER_DEFAULT_SLOT = 4
-# Share of the memory for the bodies of pending events. It is enough for them, and leaves the rest to the
-# interpreter.
-PENDING_BODIES_MEMORY_SHARE = 1 / 8
-BYTES_PER_MIB = 1024 * 1024
 # "MB" can mean 1000 * 1000 or 1024 * 1024 bytes; this is the smaller of the two.
-BYTES_PER_DISK_MB = 1000 * 1000
+BYTES_PER_MB = 1000 * 1000
 
 
 @dataclass
@@ -72,8 +68,8 @@
     """Maximum size of the write-ahead log."""
     connect_timeout_ms: float = field(init=False)
     """Time-out of a connect to an endpoint."""
-    max_pending_bytes: int = field(init=False)
-    """Maximum total size of the bodies of pending events."""
+    memory_bytes: int = field(init=False)
+    """Maximum resident size of the process."""
 
     def __post_init__(
         self,
@@ -91,7 +87,6 @@
         self.max_clients = max(MIN_CONNECTIONS, sockets_for_clients)
         self.max_idle_clients = max(MIN_CONNECTIONS, int(IDLE_CLIENT_SHARE * sockets))
         self.backlog = max(MIN_BACKLOG, sockets)
-        self.disk_bytes = int(float(machine_limits.get("disk_mb") or DEFAULT_DISK_MB) * BYTES_PER_DISK_MB)
+        self.disk_bytes = int(float(machine_limits.get("disk_mb") or DEFAULT_DISK_MB) * BYTES_PER_MB)
         self.connect_timeout_ms = connect_timeout_setting_ms or DEFAULT_CONNECT_TIMEOUT_MS
-        memory_bytes = float(machine_limits.get("memory_mb") or DEFAULT_MEMORY_MB) * BYTES_PER_MIB
-        self.max_pending_bytes = int(memory_bytes * PENDING_BODIES_MEMORY_SHARE)
+        self.memory_bytes = int(float(machine_limits.get("memory_mb") or DEFAULT_MEMORY_MB) * BYTES_PER_MB)
--- a/swiftthread/service/shutdown.py
+++ b/swiftthread/service/shutdown.py
@@ -42,7 +42,7 @@
         node.scheduler.is_sending = elapsed_ms < SEND_DURATION_MS
         if node.submissions.is_closed and not _has_work(node):
             break
-    await node.server.finish_shutdown(listener, node.tasks)
+    await node.server.finish_shutdown(listener)
     node.activity.log_counts()
     logger.info("stopped; {} events are left in the log", len(node.log.pending))
     node.tasks.cancel_scope.cancel()
--- a/swiftthread/service/submissions.py
+++ b/swiftthread/service/submissions.py
@@ -3,12 +3,13 @@
 import math
 
 from swiftthread.clocks import Clock
+from swiftthread.memory_account import MemoryAccount, MemoryUse
 from swiftthread.routing.events import Destination
 from swiftthread.routing.router import Router
 from swiftthread.routing.settings import Settings
-from swiftthread.server.messages import AdmissionResult
+from swiftthread.server.messages import AdmissionResult, Submitter
 from swiftthread.service.activity import Activity, AdmissionOutcome
-from swiftthread.service.delivery import EventDelivery
+from swiftthread.service.delivery import EventDelivery, event_bytes
 from swiftthread.storage.pending_event import PendingEvent
 from swiftthread.storage.write_ahead_log import WriteAheadLog
 
@@ -18,6 +19,9 @@
 # the event is accepted, and its remaining time is limited to the max age.
 MAX_REMAINING_TIME_IN_MAX_AGES = 2
 
+# Memory of the id and the fingerprint of an event that ended recently.
+ENDED_EVENT_BYTES = 512
+
 STATUS_ACCEPTED = 202
 STATUS_BAD_REQUEST = 400
 STATUS_CONFLICT = 409
@@ -36,7 +40,7 @@
         delivery: EventDelivery,
         activity: Activity,
         stream_type_numbers: dict[str, int],
-        max_pending_bytes: int,
+        memory: MemoryAccount,
         clock: Clock,
         log_clock: Clock,
     ) -> None:
@@ -54,13 +58,14 @@
             name: settings.stream_types[number].max_age_ms for name, number in stream_type_numbers.items()
         }
         self._max_pending_events = _max_pending_events(settings)
-        self._max_pending_bytes = max_pending_bytes
+        self._memory = memory
         self._clock = clock
         self._log_clock = log_clock
 
-    def admit(self, pending: PendingEvent) -> AdmissionResult:
-        """Accept or reject one submission."""
+    def admit(self, pending: PendingEvent, submitter: Submitter) -> AdmissionResult:
+        """Accept or reject one submission; `submitter` is the connection on which it came."""
         # The delivery of an accepted event starts once the response was sent or the client disconnected.
+        pending.submitter = submitter
         result, outcome = self._admit(pending)
         self._activity.submissions[outcome] += 1
         return result
@@ -97,8 +102,14 @@
         # None if it can be both.
         if len(self._log.pending) >= self._max_pending_events:
             return AdmissionOutcome.TOO_MANY_EVENTS
-        if self._delivery.pending_bytes + len(pending.body) > self._max_pending_bytes:
+        free_bytes = self._memory.free(MemoryUse.EVENTS)
+        free_bytes -= ENDED_EVENT_BYTES * len(self._log.recently_ended) + event_bytes(pending)
+        if free_bytes < 0:
             return AdmissionOutcome.TOO_MANY_BYTES
+        # A connection may hold as much as is free (dynamic thresholds of Choudhury and Hahne, 1998), so that
+        # there is always memory for the events of others.
+        if pending.submitter.pending_bytes > free_bytes:
+            return AdmissionOutcome.TOO_MANY_OF_CLIENT
         if destination is None:  # an endpoint list that names it may arrive seconds later
             return AdmissionOutcome.UNKNOWN_DESTINATION
         drained_at = now + self._router.queue_drain_time_ms(destination, now)
--- a/swiftthread/storage/pending_event.py
+++ b/swiftthread/storage/pending_event.py
@@ -58,6 +58,8 @@
     """The final outcome, once it is decided that the event will not be delivered."""
     router_event: Any = field(init=False, default=None)
     """The event of the router that stands for this one; set by the node, not stored."""
+    submitter: Any = field(init=False, default=None)
+    """The connection that submitted it; set by the node, not stored."""
     reserved_bytes: int = field(init=False, default=0)
     """Upper bound of the bytes that its records need in the log."""
     file_offset: int = field(init=False, default=0)
--- a/tests/client/test_list_watch.py
+++ b/tests/client/test_list_watch.py
@@ -10,7 +10,8 @@
 from swiftthread.client.http_exchange import HttpRequest, client_parser, encode_request
 from swiftthread.client.list_watch import ListWatch
 from swiftthread.network.buffer_pool import BufferPool
-from swiftthread.network.connection import Connection, ConnectionClosed
+from swiftthread.network.connection import Connection
+from swiftthread.network.tcp_connection import ConnectionClosed
 
 ENTRY = {"id": "s-1", "addr": "127.0.0.1:2", "cell": 1, "zone": "east", "kind": "plain", "state": "SERVING"}
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/server/test_connection_table.py
+++ b/tests/server/test_connection_table.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from swiftthread.network.connection import ConnectionClosed
+from swiftthread.network.tcp_connection import ConnectionClosed
 from swiftthread.server.connection_table import ConnectionState, ConnectionTable
 
 
