Log what clients hold, why their connections ended, and what held up the event loop

A line every 10 s and at the end: client connections by state and how many wait to be read, ended ones by reason, the process's resident size beside its start and limit, the most that each use of the memory account held beside its limit, and the longest piece of work of each kind.

--- a/swiftthread/server/connection_table.py
+++ b/swiftthread/server/connection_table.py
@@ -107,18 +107,24 @@
         connection.times_out_at = anyio.current_time() + CLOSE_TIMEOUT_S
         connection.shutdown_write()
 
-    def begin_close_of_inactive(self, new_accepted_by: float) -> None:
+    def begin_close_of_inactive(self, new_accepted_by: float) -> int:
         """Begin to close all inactive connections on which nothing has arrived.
 
         Args:
             new_accepted_by: In s on the event loop's clock; connections in state NEW that were accepted
                 later stay open.
+
+        Returns:
+            The number of connections whose close begins.
         """
+        closed_count = 0
         for connection, entered_at in self.inactive():
             if connection.has_nothing_to_read() and (
                 entered_at <= new_accepted_by or self.state_of(connection) is not ConnectionState.NEW
             ):
                 self.begin_close(connection)
+                closed_count += 1
+        return closed_count
 
     def has_unread_request(self) -> bool:
         """Return whether any inactive connection has unread input."""
--- a/swiftthread/server/http_server.py
+++ b/swiftthread/server/http_server.py
@@ -6,6 +6,7 @@
 
 import math
 import socket
+from collections import Counter
 from collections.abc import Callable, Container
 from functools import partial
 from typing import Protocol
@@ -16,11 +17,13 @@
 from loguru import logger
 
 from swiftthread.clocks import monotonic_ms
+from swiftthread.hold_ups import HoldUps, Work
 from swiftthread.memory_account import MemoryAccount, MemoryUse
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.socket_watcher import SocketWatcher
 from swiftthread.network.tcp_connection import ConnectionClosed
 from swiftthread.server.admission_queue import AdmissionPolicy, AdmissionQueue
+from swiftthread.server.client_close_reason import ClientCloseReason
 from swiftthread.server.client_connection import CONNECTION_BYTES, REQUEST_BYTES, ClientConnection
 from swiftthread.server.connection_table import NEW_GRACE_S, ConnectionState, ConnectionTable
 from swiftthread.server.http_status import HttpStatus
@@ -72,6 +75,7 @@
         buffers: BufferPool,
         limits: ConnectionLimits,
         memory: MemoryAccount,
+        hold_ups: HoldUps,
         log_clock: Callable[[], float],
         first_request_timeout_ms: float,
         request_timeout_ms: float,
@@ -82,13 +86,13 @@
         # Create a server; `serve` runs it. `admit` decides whether the node accepts an event that came on a
         # connection, and returns the result for its client. `stream_types` are the names of the stream types
         # that the node serves. `buffers` are the receive buffers. `limits` are the limits on the number of
-        # client connections. `memory` is the account of the memory that requests hold. `log_clock` returns
-        # the time in ms on the clock of the write-ahead log. `first_request_timeout_ms` is the longest time
-        # from the accept to the last byte of a connection's first request. `request_timeout_ms` is the
-        # longest time from the first byte of a request to its last byte. `idle_timeout_ms` is the longest
-        # time from a response to the first byte of the next request. `admission` limits how many requests may
-        # be read. `request_cycle` requests a scheduling cycle, during which the caller must call
-        # `admit_waiting`.
+        # client connections. `memory` is the account of the memory that requests hold. `hold_ups` records how
+        # long turns take. `log_clock` returns the time in ms on the clock of the write-ahead log.
+        # `first_request_timeout_ms` is the longest time from the accept to the last byte of a connection's
+        # first request. `request_timeout_ms` is the longest time from the first byte of a request to its last
+        # byte. `idle_timeout_ms` is the longest time from a response to the first byte of the next request.
+        # `admission` limits how many requests may be read. `request_cycle` requests a scheduling cycle,
+        # during which the caller must call `admit_waiting`.
         self.limits = limits
         self.connections = ConnectionTable()
         self.is_shutting_down = False  # once True, each response closes its connection
@@ -96,6 +100,7 @@
         self._stream_types = stream_types
         self._buffers = buffers
         self._memory = memory
+        self._hold_ups = hold_ups
         self._log_clock = log_clock
         self._first_request_timeout_s = first_request_timeout_ms / 1000.0
         self._request_timeout_s = request_timeout_ms / 1000.0
@@ -104,6 +109,7 @@
         self._admission_queue = AdmissionQueue(admission, request_cycle)
         self._watcher = SocketWatcher()
         self._has_clients = anyio.Event()
+        self._close_counts: Counter[ClientCloseReason] = Counter()
 
     async def serve(self, listener: socket.socket, tasks: TaskGroup) -> None:
         """Accept clients until the task is cancelled or the listener is closed."""
@@ -132,16 +138,26 @@
         """Admit as many waiting requests as may be read in this scheduling cycle."""
         admission = self._admission_queue.admit_waiting()
         for connection in admission.given_up:
-            self._close(connection)
+            self._end(connection, ClientCloseReason.CLIENT_LEFT)
         for connection in admission.admitted:
             self._run_turn(connection, self._begin_request)
 
+    def waiting_count(self) -> int:
+        """Return how many connections wait until their request may be read."""
+        return len(self._admission_queue)
+
+    def take_close_counts(self) -> Counter[ClientCloseReason]:
+        """Return how many connections ended since the previous call, by reason."""
+        counts = self._close_counts
+        self._close_counts = Counter()
+        return counts
+
     def begin_shutdown(self) -> None:
         """Begin the shutdown."""
         # Connections between requests are closed now, the others with their next response. Connections
         # accepted less than NEW_GRACE_S ago stay open, because their request may be on its way.
         self.is_shutting_down = True
-        self.connections.begin_close_of_inactive(anyio.current_time() - NEW_GRACE_S)
+        self._begin_close_of_inactive(anyio.current_time() - NEW_GRACE_S)
 
     def has_pending_responses(self) -> bool:
         """Return whether any client waits for a response to a request."""
@@ -161,7 +177,7 @@
             is_backlog_empty = False
             while len(self.connections) or not is_backlog_empty:
                 is_backlog_empty = is_backlog_empty or self._accept_backlog(listener)
-                self.connections.begin_close_of_inactive(math.inf)
+                self._begin_close_of_inactive(math.inf)
                 self._request_cycle()  # waiting requests are admitted in a scheduling cycle
                 await anyio.sleep(SHUTDOWN_POLL_INTERVAL_S)
         anyio.notify_closing(listener)
@@ -173,7 +189,7 @@
         # Accept the clients that wait to be accepted, while there is capacity; return whether none is left.
         try:
             for _ in range(MAX_ACCEPTS_PER_SHUTDOWN_POLL):
-                if self._is_full() and not self.connections.evict_one():
+                if self._is_full() and not self._evict_one():
                     break
                 self._accept(listener)
         except BlockingIOError:
@@ -194,9 +210,18 @@
     async def _wait_for_capacity(self) -> None:
         # Wait until one more connection may be open; meanwhile new clients wait in the listen backlog.
         while self._is_full():
-            if not self.connections.evict_one():
+            if not self._evict_one():
                 await anyio.sleep(CAPACITY_POLL_INTERVAL_S)
 
+    def _evict_one(self) -> bool:
+        is_evicted = self.connections.evict_one()
+        self._close_counts[ClientCloseReason.CONNECTION_LIMIT] += is_evicted
+        return is_evicted
+
+    def _begin_close_of_inactive(self, new_accepted_by: float) -> None:
+        closed_count = self.connections.begin_close_of_inactive(new_accepted_by)
+        self._close_counts[ClientCloseReason.SHUTDOWN] += closed_count
+
     def _is_full(self) -> bool:
         max_clients = self._memory.limit_of(MemoryUse.CONNECTIONS) // CONNECTION_BYTES
         return len(self.connections) >= min(self.limits.max_clients, max_clients)
@@ -212,13 +237,15 @@
 
     def _run_turn(self, connection: ClientConnection, turn: Callable[[ClientConnection], None]) -> None:
         # Run one turn of a connection. Whatever fails in it closes this connection only.
+        began_at = monotonic_ms()
         try:
             turn(connection)
         except ConnectionClosed:
-            self._close(connection)
+            self._end(connection, ClientCloseReason.CLOSED_BY_CLIENT)
         except Exception:  # protects the other clients: an error here closes only this connection
             logger.exception("serving a client connection failed; the connection is closed")
-            self._close(connection)
+            self._end(connection, ClientCloseReason.ERROR)
+        self._hold_ups.record(Work.CLIENTS, began_at)
 
     def _take_scheduled_turn(self, connection: ClientConnection) -> None:
         connection.is_turn_scheduled = False
@@ -287,10 +314,10 @@
                 self._respond(connection, self._handle(connection, request), request.allows_next_request)
                 return
         except BadRequest as error:
-            self._reject(connection, error.status)
+            self._reject(connection, error.status, ClientCloseReason.BAD_REQUEST)
             return
         if not self._reserve_memory(connection, REQUEST_BYTES + parser.held_bytes):
-            self._reject(connection, HttpStatus.SERVICE_UNAVAILABLE)
+            self._reject(connection, HttpStatus.SERVICE_UNAVAILABLE, ClientCloseReason.MEMORY)
             return
         if parser.expects_continue:
             connection.send_if_possible(CONTINUE_RESPONSE)
@@ -317,9 +344,9 @@
 
     def _evict_request(self, connection: ClientConnection) -> None:
         if connection.has_unsent_output:
-            self._close(connection)
+            self._end(connection, ClientCloseReason.RESPONSE_NOT_READ)
         else:
-            self._reject(connection, HttpStatus.SERVICE_UNAVAILABLE)
+            self._reject(connection, HttpStatus.SERVICE_UNAVAILABLE, ClientCloseReason.MEMORY)
 
     def _handle(self, connection: ClientConnection, parsed: ParsedRequest) -> AdmissionResult:
         # Return the result with which a request is answered. BadRequest is raised if the request is answered
@@ -354,9 +381,9 @@
         if not connection.is_open:
             return
         if connection.is_broken:
-            self._close(connection)
+            self._end(connection, ClientCloseReason.CLOSED_BY_CLIENT)
         elif closes_connection:
-            self._begin_graceful_close(connection)
+            self._begin_graceful_close(connection, ClientCloseReason.LAST_RESPONSE)
         else:
             self._begin_idle(connection)
 
@@ -378,19 +405,26 @@
         connection.parser = None
         connection.try_reserve(0)
 
-    def _reject(self, connection: ClientConnection, status: int) -> None:
+    def _reject(self, connection: ClientConnection, status: int, reason: ClientCloseReason) -> None:
         # Answer a request with an error status. Its rest is read and discarded, so that a reset does not
         # overtake the response.
         connection.send_if_possible(encode_response(status, closes_connection=True))
-        self._begin_graceful_close(connection)
+        self._begin_graceful_close(connection, reason)
         connection.times_out_at = anyio.current_time() + BAD_REQUEST_DRAIN_MS / 1000.0
 
-    def _begin_graceful_close(self, connection: ClientConnection) -> None:
+    def _begin_graceful_close(self, connection: ClientConnection, reason: ClientCloseReason) -> None:
         # Shut down the node's side and wait for the client to close; bytes that arrive are discarded.
+        self._close_counts[reason] += 1
         self._release_request(connection)
         self.connections.begin_close(connection)
         self._watch(connection)
 
+    def _end(self, connection: ClientConnection, reason: ClientCloseReason) -> None:
+        # Close a connection. The reason for one whose close has begun is counted already.
+        if self.connections.state_of(connection) not in (None, CLOSING):
+            self._close_counts[reason] += 1
+        self._close(connection)
+
     def _close(self, connection: ClientConnection) -> None:
         self._admission_queue.remove(connection)
         self.connections.close(connection)
@@ -409,14 +443,14 @@
     def _end_timed_out(self, connection: ClientConnection) -> None:
         state = self.connections.state_of(connection)
         if state is CLOSING or connection.has_unsent_output:
-            self._close(connection)
+            self._end(connection, ClientCloseReason.RESPONSE_NOT_READ)
         elif state is IN_REQUEST:
             # What has arrived at the same time as the time-out is read first.
             self._take_turn(connection)
             if self.connections.state_of(connection) is IN_REQUEST:
-                self._reject(connection, HttpStatus.REQUEST_TIMEOUT)
+                self._reject(connection, HttpStatus.REQUEST_TIMEOUT, ClientCloseReason.REQUEST_TIMEOUT)
         elif connection.has_nothing_to_read():
-            self._begin_graceful_close(connection)
+            self._begin_graceful_close(connection, ClientCloseReason.IDLE_TIMEOUT)
         else:  # the request arrived at the same time as the time-out: it is read, whether admitted or not
             self._admission_queue.remove(connection)
             self._begin_request(connection)
--- a/swiftthread/service/activity.py
+++ b/swiftthread/service/activity.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from enum import StrEnum
 from typing import Any
 
@@ -41,6 +41,8 @@
     # It is the `RoutingObserver` and the `ConnectionObserver` of a node.
 
     def __init__(self) -> None:
+        self.describe_resources: Callable[[], str] | None = None
+        """Returns what the node holds at the time of a report; set once the node is built."""
         self.submissions: Counter[AdmissionOutcome] = Counter()
         self.attempts: Counter[SendOutcome] = Counter()
         self.unconfirmed_list_attempts = 0
@@ -104,7 +106,9 @@
             self.log_counts()
 
     def log_counts(self) -> None:
-        """Log the counts since the previous report, unless all are 0, and reset them."""
+        """Log the counts since the previous report, unless all are 0, and what the node holds; reset them."""
+        if self.describe_resources is not None:
+            logger.bind(**STATE_CHANGE).info("resources: {}", self.describe_resources())
         if self.submissions or self.attempts or self.final_outcomes or self.acked_count:
             logger.bind(**STATE_CHANGE).info(
                 "submissions: {}; attempts: {}, {} of them by an unconfirmed endpoint list; "
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -10,6 +10,7 @@
 from swiftthread.client.result_notifier import ResultNotifier
 from swiftthread.clocks import Clock, monotonic_ms
 from swiftthread.configuration.node_config import NodeConfig
+from swiftthread.hold_ups import HoldUps
 from swiftthread.memory_account import MemoryAccount, resident_bytes
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.routing.router import Router
@@ -28,6 +29,7 @@
 )
 from swiftthread.service.list_follower import EndpointListFollower
 from swiftthread.service.node import Node
+from swiftthread.service.resource_report import ResourceReport
 from swiftthread.service.scheduler import Scheduler
 from swiftthread.service.submissions import SubmissionHandler
 from swiftthread.storage.write_ahead_log import WriteAheadLog
@@ -62,8 +64,11 @@
         self._buffers = BufferPool()
         self._memory = MemoryAccount(limits.memory_bytes, resident_bytes())
         self._activity = Activity()
+        self._hold_ups = HoldUps()
         self._router = Router(config.settings, config.seed, self._activity, reuses_connections=False)
-        self._scheduler = Scheduler(self._router, monotonic_ms, config.settings.scheduling_interval_ms)
+        self._scheduler = Scheduler(
+            self._router, monotonic_ms, config.settings.scheduling_interval_ms, self._hold_ups
+        )
         self._admission = AdmissionController(config.settings.scheduling_interval_ms)
 
     def build(self) -> Node:
@@ -74,6 +79,7 @@
         delivery = self._build_delivery(endpoint_client, notifier)
         submissions = self._build_submissions(delivery)
         server = self._build_server(submissions)
+        self._activity.describe_resources = ResourceReport(self._memory, server, self._hold_ups).describe
         list_follower = self._build_list_follower(discovery)
         self._memory.set_start_bytes(resident_bytes())
         return Node(
@@ -167,6 +173,7 @@
             buffers=self._buffers,
             limits=self._limits,
             memory=self._memory,
+            hold_ups=self._hold_ups,
             log_clock=self._log_clock,
             first_request_timeout_ms=FIRST_REQUEST_TIMEOUT_MS,
             request_timeout_ms=REQUEST_TIMEOUT_MS,
--- a/swiftthread/service/scheduler.py
+++ b/swiftthread/service/scheduler.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from swiftthread.clocks import Clock
+from swiftthread.hold_ups import HoldUps, Work
 from swiftthread.routing.events import Destination, Event
 from swiftthread.routing.messages import Abandon, Reject, Send
 from swiftthread.routing.router import Router
@@ -58,13 +59,16 @@
 
     # Two cycles are at least `scheduling_interval_ms` apart.
 
-    def __init__(self, router: Router, clock: Clock, scheduling_interval_ms: float) -> None:
+    def __init__(
+        self, router: Router, clock: Clock, scheduling_interval_ms: float, hold_ups: HoldUps
+    ) -> None:
         self.scheduling_interval_ms = scheduling_interval_ms
         """Pause between two scheduling cycles."""
         self.is_sending = True
         """Cleared by the shutdown: outcomes are still recorded, but no further event is decided."""
         self._router = router
         self._clock = clock
+        self._hold_ups = hold_ups
         self._queues = PendingQueues(router)
         # Tasks that wait for the next cycle to pass information to the router; emptied by each cycle.
         self._cycle_waiters: list[PendingResult[float]] = []
@@ -176,9 +180,11 @@
         if not self.is_sending:
             return 0
         before_decisions()
+        began_at = self._clock()
         decisions = self._queues.run_cycle(now)
         for event_decision in decisions:
             self._deliver_decision(event_decision)
+        self._hold_ups.record(Work.SCHEDULING, began_at)
         if decisions:
             await checkpoint()
         return len(decisions)
--- a/tests/server/test_connection_close.py
+++ b/tests/server/test_connection_close.py
@@ -11,6 +11,7 @@
 import anyio
 import pytest
 
+from swiftthread.hold_ups import HoldUps
 from swiftthread.memory_account import BYTES_PER_MIB, MemoryAccount
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.listener import open_listener
@@ -49,6 +50,7 @@
             stream_types={"once": 0},
             buffers=BufferPool(),
             limits=Limits({"sockets": 256}, 8, 500.0),
+            hold_ups=HoldUps(),
             memory=MemoryAccount(64 * BYTES_PER_MIB, 0),
             log_clock=lambda: 0.0,
             first_request_timeout_ms=60000.0,
--- a/tests/service/test_activity.py
+++ b/tests/service/test_activity.py
@@ -1,7 +1,9 @@
 """The log shows when an endpoint is marked down and is up again, and counts what the node did meanwhile."""
 
 from support.fake_servers import FakeEndpoint
-from support.node_process import NodeProcess, wait_until
+from support.node_process import NodeProcess, exchange, wait_until
+
+from swiftthread.memory_account import MemoryUse
 
 
 def test_outage_recovery_and_counts_are_logged(tmp_path):
@@ -51,3 +53,24 @@
         "1 unsolicited bytes",
         "1 unsolicited response",
     ]
+
+
+def test_what_clients_hold_and_why_their_connections_ended_is_logged(tmp_path):
+    """Nothing in the logs told why a process passed its memory limit, or what held up its event loop."""
+    with NodeProcess(tmp_path, FakeEndpoint(None), limits={"memory_mb": 64}) as node:
+        assert node.submit(left="20m", destination=7) == 503
+        assert node.raw(b"GET /x HTTP/1.1\r\nHost: n\r\n" + b"a:\r\n" * 200).startswith(b"HTTP/1.1 431")
+        assert node.submit(body=bytes(60_000)) == 202
+        with node.open() as idle, node.open() as incomplete:
+            incomplete.sendall(node.submission_request(body=bytes(9000))[:-1])
+            assert exchange(idle, node.submission_request("turn")).startswith(b"HTTP/1.1 202")
+            lines = node.stop_and_read_log().splitlines()
+    resources = next(line for line in lines if "resources: " in line)
+    ended = resources.partition("; ended: ")[2].partition(";")[0].split(", ")
+    assert "1 invalid request" in ended and "1 between requests at the shutdown" in ended
+    assert " MiB resident, " in resources and " MiB resident, 0.0" not in resources
+    held = resources.partition("; most held: ")[2].partition(";")[0]
+    held_kib = {use: int(text.split()[0]) for use in MemoryUse for text in [held.partition(f"{use} ")[2]]}
+    assert held_kib["incomplete requests"] >= 9 and held_kib["events"] >= 60
+    assert held_kib["client connections"] > 0
+    assert " ms by requests of clients" in resources.partition("longest hold-ups: ")[2]
--- a/tests/service/test_scheduler.py
+++ b/tests/service/test_scheduler.py
@@ -3,6 +3,7 @@
 import anyio
 
 from swiftthread.clocks import monotonic_ms
+from swiftthread.hold_ups import HoldUps
 from swiftthread.routing.router import Router
 from swiftthread.routing.settings import Settings, StreamType
 from swiftthread.service.scheduler import Scheduler
@@ -17,7 +18,7 @@
     async def decide():
         router = Router(Settings(stream_types=[StreamType(1500.0, 6000.0)]), 7)
         router.apply_endpoint_list([("a", 0, 0, 0, 0.0, True)], True, 0.0)
-        scheduler = Scheduler(router, monotonic_ms, SCHEDULING_INTERVAL_MS)
+        scheduler = Scheduler(router, monotonic_ms, SCHEDULING_INTERVAL_MS, HoldUps())
         event = router.add_event(monotonic_ms(), 0, 0, 6000.0)
 
         def apply_change():
