A request whose client has closed its connection is not accepted

Callers saw: events of clients that had closed their connections unanswered were sent on; 68 of 68 unanswered ones beside a crowd that held up the node, and two of 60 written at once by a client that closed. Such a client may submit the event elsewhere. Cause: the node asked for the state of a connection only while it was overloaded. Change: right before an event is admitted, TCP_INFO is asked whether the client has closed its side, also behind unread bytes. If so, the event is not accepted and the connection is closed with a 503, because a client that closed its sending side alone may still read. What was accepted before stays accepted.

--- a/swiftthread/server/http_server.py
+++ b/swiftthread/server/http_server.py
@@ -56,6 +56,10 @@
 CLOSING = ConnectionState.CLOSING
 
 
+class ClientLeft(Exception):
+    """The client of a submission has closed its connection."""
+
+
 class ConnectionLimits(Protocol):
     """Limits on the number of client connections."""
 
@@ -110,6 +114,8 @@
         self._watcher = SocketWatcher()
         self._has_clients = anyio.Event()
         self._close_counts: Counter[ClientCloseReason] = Counter()
+        self.accepted_count = 0
+        """Connections accepted since the start."""
 
     async def serve(self, listener: socket.socket, tasks: TaskGroup) -> None:
         """Accept clients until the task is cancelled or the listener is closed."""
@@ -203,6 +209,7 @@
         connection = ClientConnection(sock, self._buffers, self._watcher, self._memory)
         connection.enable_timestamps()
         connection.times_out_at = anyio.current_time() + self._first_request_timeout_s
+        self.accepted_count += 1
         self.connections.add(connection)
         self._has_clients.set()
         self._run_turn(connection, self._take_turn)  # most clients have sent their request by now
@@ -316,6 +323,9 @@
         except BadRequest as error:
             self._reject(connection, error.status, ClientCloseReason.BAD_REQUEST)
             return
+        except ClientLeft:
+            self._reject(connection, HttpStatus.SERVICE_UNAVAILABLE, ClientCloseReason.CLIENT_LEFT)
+            return
         if not self._reserve_memory(connection, REQUEST_BYTES + parser.held_bytes):
             self._reject(connection, HttpStatus.SERVICE_UNAVAILABLE, ClientCloseReason.MEMORY)
             return
@@ -350,13 +360,18 @@
 
     def _handle(self, connection: ClientConnection, parsed: ParsedRequest) -> AdmissionResult:
         # Return the result with which a request is answered. BadRequest is raised if the request is answered
-        # with an error status, after which its connection is closed.
+        # with an error status, after which its connection is closed. ClientLeft is raised if the client has
+        # closed its connection: it may submit the event elsewhere, so the event is not accepted. One that has
+        # closed its sending side alone cannot be told from it.
         received_at = connection.request_received_at
         age_ms = 0.0 if received_at is None else monotonic_ms() - received_at
         request = Request(parsed.head, parsed.body, self._log_clock() - age_ms)
         if request.is_health_check():
             return AdmissionResult(HttpStatus.SERVICE_UNAVAILABLE if self.is_shutting_down else HttpStatus.OK)
-        result = self._admit(parse_submission(request, self._stream_types), connection.submitter)
+        pending = parse_submission(request, self._stream_types)
+        if connection.peer_has_closed():
+            raise ClientLeft
+        result = self._admit(pending, connection.submitter)
         if result.status in CLOSING_STATUSES:
             raise BadRequest(result.status)
         return result
