An endpoint's answer cannot hold up the event loop, or hold memory without end

Cause: the read loop of a response handled all parts of all bytes that had come without yielding, and its bound counted bytes of the body alone.

--- a/swiftthread/client/endpoint_call.py
+++ b/swiftthread/client/endpoint_call.py
@@ -36,6 +36,9 @@
 # not be recorded yet. Calls within 100 ms of a Retry-After are tolerated.
 MAX_UNRECORDED_MS = 50.0
 
+# Turns of reading after a time-out; a complete response takes few.
+MAX_FINAL_TURNS = 16
+
 
 class EndpointCall:
     """One call with the sends of a batch."""
@@ -83,7 +86,8 @@
         self.target = connections.address_of(batch.endpoint)
         """The endpoint and its address when the call started."""
         self.connection: Connection | None = None
-        self.response = HttpResponse()
+        # The body names the outcomes of several events; that of a call with one event means nothing.
+        self.response = HttpResponse(connections.resources, keeps_body=len(batch.sends) > 1)
         self.write_started_at = 0.0
         """Time right before the first byte was sent."""
 
@@ -179,12 +183,18 @@
             if await self._is_delivered(connection, response_scope, write_by):
                 await receive(connection, self.response, response_scope)
         # After a suspension of this process the timer may have expired although the response has arrived.
-        while (
-            outcome == SendOutcome.TIMED_OUT and not self.response.is_complete and connection.read_available()
-        ):
-            self.response.feed_from(connection)
+        if outcome == SendOutcome.TIMED_OUT:
+            self._read_what_has_arrived(connection)
         return outcome
 
+    def _read_what_has_arrived(self, connection: Connection) -> None:
+        for _ in range(MAX_FINAL_TURNS):
+            if self.response.is_complete:
+                return
+            if not self.response.has_more_parts and not connection.read_available(self.response.add_received):
+                return
+            self.response.feed_from(connection)
+
     async def _is_delivered(
         self, connection: Connection, response_scope: anyio.CancelScope, deliver_by: float
     ) -> bool:
--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -13,8 +13,10 @@
 from swiftthread.client.endpoint_connections import EndpointAddress, EndpointConnections
 from swiftthread.client.endpoint_request import HOST_HEADER
 from swiftthread.client.endpoint_response import parse_load_report, read_results
-from swiftthread.client.http_exchange import HttpRequest, HttpResponse, exchange
+from swiftthread.client.http_exchange import HttpRequest, HttpResponse, ResponseResources, exchange
 from swiftthread.client.send_result import SendResult
+from swiftthread.hold_ups import HoldUps
+from swiftthread.memory_account import MemoryAccount, MemoryUse
 from swiftthread.network.address import Address
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.connection import Connection
@@ -32,6 +34,10 @@
 # A send that times out at most this long before its deadline, or after it, is the last attempt of its event.
 DEADLINE_TOLERANCE_MS = 1.0
 
+# Memory of a call in flight: its task, its connection, its parser and a small response. The router bounds
+# the number of calls.
+CALL_BYTES = 16 * 1024
+
 _OUTCOME_BY_HEALTH_STATUS = {200: SendOutcome.ACKED, 503: SendOutcome.RATE_LIMITED}
 
 
@@ -51,12 +57,16 @@
         update_endpoint_list: Callable[[], None],
         wait_until_recorded: Callable[[], Awaitable[None]],
         observer: ConnectionObserver,
+        memory: MemoryAccount,
+        hold_ups: HoldUps,
     ) -> None:
         self.tasks = tasks
         """Task group in which the calls run."""
         # `buffers` is the pool of buffers for reads. `addresses` has the addresses as (host, port), by
         # endpoint id; their owner updates the mapping in place.
-        self.connections = EndpointConnections(buffers, addresses, connect_timeout_ms, observer)
+        self.connections = EndpointConnections(
+            buffers, addresses, connect_timeout_ms, observer, ResponseResources(memory, hold_ups)
+        )
         self.clock = clock
         """Returns the monotonic time in ms."""
         self.log_clock = log_clock
@@ -97,6 +107,14 @@
 
     async def _call(self, batch: Batch) -> None:
         # Make the call of a batch and finish each send in it.
+        memory = self.connections.resources.memory
+        memory.reserve(MemoryUse.CALLS, CALL_BYTES)
+        try:
+            await self._make_call(batch)
+        finally:
+            memory.release(MemoryUse.CALLS, CALL_BYTES)
+
+    async def _make_call(self, batch: Batch) -> None:
         call = EndpointCall(
             batch,
             self.connections,
@@ -123,7 +141,7 @@
     async def check_health(self, endpoint: Endpoint) -> SendResult:
         """Make a health check; return its outcome, its latency and the load report, if there is one."""
         started_at = self.clock()
-        response = HttpResponse()
+        response = HttpResponse(self.connections.resources, keeps_body=False)
         connection: Connection | None = None
         target = self.connections.address_of(endpoint)
         request = HttpRequest("GET", "/_load" if self.report_fields else "/ping", [HOST_HEADER])
--- a/swiftthread/client/endpoint_connections.py
+++ b/swiftthread/client/endpoint_connections.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING, NamedTuple
 
-from swiftthread.client.http_exchange import HttpResponse, client_parser
+from swiftthread.client.http_exchange import HttpResponse, ResponseResources, client_parser
 from swiftthread.network.address import Address
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.connection import Connection, connect
@@ -37,7 +37,7 @@
 class EndpointConnections:
     """Opens a connection for each call, and closes or resets it after the call."""
 
-    __slots__ = ("buffers", "addresses", "connect_timeout_ms", "observer")
+    __slots__ = ("buffers", "addresses", "connect_timeout_ms", "observer", "resources")
 
     def __init__(
         self,
@@ -45,11 +45,13 @@
         addresses: Mapping[str | int, Address],
         connect_timeout_ms: float,
         observer: ConnectionObserver,
+        resources: ResponseResources,
     ) -> None:
         self.buffers = buffers
         self.addresses = addresses
         self.connect_timeout_ms = connect_timeout_ms
         self.observer = observer
+        self.resources = resources
 
     def address_of(self, endpoint: Endpoint) -> EndpointAddress:
         """Returns the endpoint with its present address."""
@@ -67,7 +69,8 @@
         return connection.enable_timestamps()
 
     def close(self, target: EndpointAddress, connection: Connection | None, response: HttpResponse) -> None:
-        """Close the connection of a call, or reset it if the call has no response."""
+        """Close the connection of a call, or reset it if the call has no response; release the response."""
+        response.release()
         if connection is None:
             return
         reason = _close_reason(connection, response)
--- a/swiftthread/client/result_notifier.py
+++ b/swiftthread/client/result_notifier.py
@@ -95,7 +95,7 @@
         # Post notifications and return whether they are acknowledged.
         body = "".join(notification.line + "\n" for notification in batch).encode()
         request = HttpRequest("POST", "/status", [("Host", "discovery")], body)
-        response = HttpResponse()
+        response = HttpResponse(keeps_body=False)
         address = self.address
         connection: Connection | None = None
         try:
--- a/swiftthread/memory_account.py
+++ b/swiftthread/memory_account.py
@@ -26,7 +26,8 @@
     REQUESTS = "incomplete requests"
     EVENTS = "events"
     """Pending events, and the ids of those that ended recently."""
-    RESPONSES = "responses of endpoints"
+    CALLS = "calls to endpoints"
+    """Calls in flight, with their responses."""
     ENDPOINT_LIST = "endpoint list"
     """Endpoints that were listed after the start, and incomplete list documents."""
 
@@ -35,7 +36,7 @@
     MemoryUse.CONNECTIONS: 0.2,
     MemoryUse.REQUESTS: 0.2,
     MemoryUse.EVENTS: 0.4,
-    MemoryUse.RESPONSES: 0.1,
+    MemoryUse.CALLS: 0.1,
     MemoryUse.ENDPOINT_LIST: 0.1,
 }
 """Share of the account for each use; they add up to 1."""
--- a/swiftthread/network/connection.py
+++ b/swiftthread/network/connection.py
@@ -37,9 +37,11 @@
             except OSError:
                 raise ConnectionClosed(request_was_written=False) from None
 
-    def read_available(self) -> bool:
+    def read_available(self, on_received: Callable[[int], None] | None = None) -> bool:
         """Pass the bytes that have arrived to the parser; return False if there are none.
 
+        `on_received` is called with their number.
+
         Raises:
             ConnectionClosed: The connection has failed, or its end was read before.
         """
@@ -50,16 +52,24 @@
             self.parser.receive_data(data)
         except RuntimeError:  # the parser has already received the end
             raise ConnectionClosed(request_was_written=True) from None
+        if on_received is not None:
+            on_received(len(data))
         return True
 
-    async def read(self) -> None:
-        """Wait for bytes and pass them to the parser.
+    async def read(self, on_received: Callable[[int], None]) -> bool:
+        """Wait for bytes and pass them to the parser; return whether they had arrived before.
+
+        `on_received` is called with their number.
 
         Raises:
             ConnectionClosed: The connection has failed, or its end was read before.
         """
-        while not self.read_available():
+        if self.read_available(on_received):
+            return True
+        await self._wait(anyio.wait_readable)
+        while not self.read_available(on_received):
             await self._wait(anyio.wait_readable)
+        return False
 
     async def wait_until_readable(self) -> None:
         """Wait until there are bytes to read, or the peer has closed its side.
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -127,6 +127,8 @@
             update_endpoint_list=discovery.apply_available_updates,
             wait_until_recorded=self._scheduler.wait_until_recorded,
             observer=self._activity,
+            memory=self._memory,
+            hold_ups=self._hold_ups,
         )
 
     def _build_notifier(self) -> ResultNotifier:
--- a/tests/client/test_endpoint_call.py
+++ b/tests/client/test_endpoint_call.py
@@ -9,7 +9,10 @@
 from swiftthread.client.batch import Batch
 from swiftthread.client.endpoint_call import EndpointCall
 from swiftthread.client.endpoint_connections import EndpointConnections
+from swiftthread.client.http_exchange import ResponseResources
 from swiftthread.clocks import monotonic_ms
+from swiftthread.hold_ups import HoldUps
+from swiftthread.memory_account import MemoryAccount
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.events import Destination
@@ -25,7 +28,9 @@
     async def call():
         batch = Batch(Endpoint("a", 0, Destination(0), 0))
         send = batch.add(SimpleNamespace(router_event=None), monotonic_ms() + 5000.0, False)
-        connections = EndpointConnections(BufferPool(), addresses, 1500.0, Activity())
+        connections = EndpointConnections(
+            BufferPool(), addresses, 1500.0, Activity(), ResponseResources(MemoryAccount(64e6, 0), HoldUps())
+        )
         await EndpointCall(
             batch,
             connections,
--- a/tests/client/test_health_check.py
+++ b/tests/client/test_health_check.py
@@ -7,6 +7,8 @@
 from support.fake_servers import FakeHttpServer, send_if_open
 
 from swiftthread.client.endpoint_client import EndpointClient
+from swiftthread.hold_ups import HoldUps
+from swiftthread.memory_account import MemoryAccount
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.events import Destination
@@ -35,6 +37,8 @@
             update_endpoint_list=lambda: None,
             wait_until_recorded=anyio.lowlevel.checkpoint,
             observer=Activity(),
+            memory=MemoryAccount(64e6, 0),
+            hold_ups=HoldUps(),
         )
 
     def check_health(self):
