Discovery cannot hold up the event loop, or make the node hold lists without end

Cause: a watch read up to 4 MiB before anything else ran, each line of it held as an entry of its own (4 million empty lines are 32 MB), and a document could take 4 MiB whatever the memory. Change: one part is read at a time and its lines handled at once; after 16,384 parts and lines the task of the watch goes on in the next iteration, which is more than an indented list of 1,024 endpoints has. A document is at most as large as the account allows (512 KiB at least), and endpoints listed after the start are reserved in it. tests/client/test_list_watch.py: both new tests fail before.

--- a/swiftthread/client/discovery_client.py
+++ b/swiftthread/client/discovery_client.py
@@ -13,7 +13,9 @@
 
 from swiftthread.client.endpoint_list import EndpointList, EndpointListUpdate
 from swiftthread.client.http_exchange import PARSE_ERRORS, HttpRequest, client_parser, encode_request
+from swiftthread.client.json_stream import MAX_OBJECT_BYTES
 from swiftthread.client.list_watch import ListWatch, UpdateCallback
+from swiftthread.hold_ups import HoldUps
 from swiftthread.network.address import Address
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.connection import Connection, connect
@@ -34,6 +36,8 @@
         idle_timeout_ms: float,
         connect_timeout_ms: float,
         first_line_timeout_ms: float = math.inf,
+        max_document_bytes: int = MAX_OBJECT_BYTES,
+        hold_ups: HoldUps | None = None,
     ) -> None:
         self.address = address
         """Address of discovery, as (host, port)."""
@@ -48,6 +52,9 @@
         """How long connecting may take."""
         self.first_line_timeout_ms = first_line_timeout_ms
         """How long a new watch may deliver nothing; an agent on this machine answers at once."""
+        self.max_document_bytes = max_document_bytes
+        """Largest list document that is read; a larger one ends the watch."""
+        self._hold_ups = hold_ups
         # `kind_numbers` has the numbers of the endpoint kinds in the settings, by name; `zone_numbers` has
         # the numbers of the zones in the settings, by name.
         self.endpoint_list = EndpointList(kind_numbers, zone_numbers)
@@ -95,7 +102,9 @@
             with anyio.fail_after(self.connect_timeout_ms / 1000.0):
                 connection = await connect(self.address, self.buffers, client_parser())
             await self._request_watch(connection)
-            self._open_watch = ListWatch(connection, self.endpoint_list, on_update)
+            self._open_watch = ListWatch(
+                connection, self.endpoint_list, on_update, self.max_document_bytes, self._hold_ups
+            )
             await self._open_watch.run(self.idle_timeout_ms, self.first_line_timeout_ms)
         except (ConnectionClosed, TimeoutError):
             logger.info(
--- a/swiftthread/client/json_stream.py
+++ b/swiftthread/client/json_stream.py
@@ -11,8 +11,6 @@
 from swiftthread.network.tcp_connection import ConnectionClosed
 
 MAX_OBJECT_BYTES = 4 * 1024 * 1024  # far more than the endpoint list of any fleet within the specified limits
-# Reads of one buffer each, 4 MiB in total, after which other tasks get to run.
-MAX_READS_PER_CALL = 256
 
 
 class MalformedJsonStream(ValueError):
@@ -22,39 +20,35 @@
 class BodyLineReader:
     """Reads the lines of a response's body as they arrive."""
 
-    def __init__(self, connection: Connection) -> None:
+    def __init__(self, connection: Connection, max_line_bytes: int = MAX_OBJECT_BYTES) -> None:
         self.connection = connection
+        self._max_line_bytes = max_line_bytes
         self.lines: deque[bytes] = deque()
         """Whole lines, without their line ends; emptied by the caller."""
         self.is_at_end = False
         """Whether the body has ended, or the status of the response is not 200."""
         self._incomplete_line = bytearray()
 
-    def read_available(self) -> None:
-        """Read what has arrived, without waiting.
+    def read_available(self) -> bool:
+        """Read one part of what has arrived, without waiting; return False if there is none.
 
         Raises:
             ConnectionClosed: The connection was closed, or the bytes are not HTTP.
-            MalformedJsonStream: A line is longer than MAX_OBJECT_BYTES.
+            MalformedJsonStream: A line is too long.
         """
-        for _ in range(MAX_READS_PER_CALL):
-            self._parse_received()
-            if self.is_at_end or not self.connection.read_available():
-                return
-
-    def _parse_received(self) -> None:
-        # Split into lines what the connection's parser has received.
-        while not self.is_at_end:
-            try:
-                part = self.connection.parser.next_event()
-            except h11.RemoteProtocolError:
-                raise ConnectionClosed(True) from None
-            if part is h11.NEED_DATA:
-                return
-            if isinstance(part, h11.Data):
-                self._add_data(bytes(part.data))
-            else:
-                self.is_at_end = not (isinstance(part, h11.Response) and part.status_code == 200)
+        if self.is_at_end:
+            return False
+        try:
+            part = self.connection.parser.next_event()
+        except h11.RemoteProtocolError:
+            raise ConnectionClosed(True) from None
+        if part is h11.NEED_DATA:
+            return self.connection.read_available()
+        if isinstance(part, h11.Data):
+            self._add_data(bytes(part.data))
+        else:
+            self.is_at_end = not (isinstance(part, h11.Response) and part.status_code == 200)
+        return True
 
     def _add_data(self, data: bytes) -> None:
         *line_ends, remainder = data.split(b"\n")
@@ -62,15 +56,18 @@
             self.lines.append(bytes(self._incomplete_line + line_end))
             self._incomplete_line.clear()
         self._incomplete_line += remainder
-        if len(self._incomplete_line) > MAX_OBJECT_BYTES:
-            raise MalformedJsonStream(f"a line of the JSON stream is longer than {MAX_OBJECT_BYTES} bytes")
+        if len(self._incomplete_line) > self._max_line_bytes:
+            raise MalformedJsonStream(
+                f"a line of the JSON stream is longer than {self._max_line_bytes} bytes"
+            )
 
 
 class JsonAssembler:
     """Assembles JSON objects from lines: an object takes one line, or several if it is indented."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_object_bytes: int = MAX_OBJECT_BYTES) -> None:
         self.text = bytearray()
+        self._max_object_bytes = max_object_bytes
 
     @property
     def has_begun(self) -> bool:
@@ -91,8 +88,8 @@
         if not (self.text or line.lstrip().startswith(b"{")):
             raise MalformedJsonStream("a line outside a JSON object does not begin one")
         self.text += line + b"\n"
-        if len(self.text) > MAX_OBJECT_BYTES:
-            raise MalformedJsonStream(f"a JSON object is longer than {MAX_OBJECT_BYTES} bytes")
+        if len(self.text) > self._max_object_bytes:
+            raise MalformedJsonStream(f"a JSON object is longer than {self._max_object_bytes} bytes")
         if not line.rstrip().endswith(b"}"):
             return None  # no object ends with this line
         try:
--- a/swiftthread/client/list_watch.py
+++ b/swiftthread/client/list_watch.py
@@ -8,9 +8,12 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from anyio.lowlevel import checkpoint
 
 from swiftthread.client.endpoint_list import EndpointList, MalformedEndpointList
-from swiftthread.client.json_stream import BodyLineReader, JsonAssembler
+from swiftthread.client.json_stream import MAX_OBJECT_BYTES, BodyLineReader, JsonAssembler
+from swiftthread.clocks import monotonic_ms
+from swiftthread.hold_ups import HoldUps, Work
 from swiftthread.network.connection import Connection
 from swiftthread.network.tcp_connection import ConnectionClosed
 
@@ -20,6 +23,10 @@
 # After this many consecutive lists with an unreadable entry, such an entry is tolerated.
 MAX_CONSECUTIVE_UNREADABLE_LISTS = 2
 
+# Parts of the response and lines, together, that one call handles: more than a list of 1,024 endpoints has
+# if it is indented.
+MAX_WORK_PER_CALL = 16_384
+
 UpdateCallback = Callable[[list["EndpointEntry"], bool], None]
 """Receives the fields of an `EndpointListUpdate` as its arguments."""
 
@@ -31,13 +38,20 @@
     # is stored, and raised in the task.
 
     def __init__(
-        self, connection: Connection, endpoint_list: EndpointList, on_update: UpdateCallback
+        self,
+        connection: Connection,
+        endpoint_list: EndpointList,
+        on_update: UpdateCallback,
+        max_document_bytes: int = MAX_OBJECT_BYTES,
+        hold_ups: HoldUps | None = None,
     ) -> None:
         self._connection = connection
         self._endpoint_list = endpoint_list
         self._on_update = on_update
-        self._lines = BodyLineReader(connection)
-        self._assembler = JsonAssembler()
+        self._hold_ups = hold_ups
+        self._lines = BodyLineReader(connection, max_document_bytes)
+        self._assembler = JsonAssembler(max_document_bytes)
+        self._has_more = False  # whether the last call of `apply_available` left something that had arrived
         self._is_first_line = True
         self._is_first_document = True
         self._latest_at = anyio.current_time()
@@ -59,25 +73,39 @@
                 raise self._error
             if self._lines.is_at_end:
                 return
+            if self._has_more:
+                await checkpoint()
+                continue
             timeout_ms = min(idle_timeout_ms, first_line_timeout_ms if self._is_first_line else math.inf)
             await self._wait_until_readable(self._latest_at + timeout_ms / 1000.0)
 
     def apply_available(self) -> None:
         """Pass on the updates that have arrived, without waiting."""
+        # After a large amount of work the rest is left to the task of the watch, so that other tasks run.
         if self._error is not None:
             return
+        began_at = monotonic_ms()
         try:
-            self._lines.read_available()
-        except Exception as error:  # raised in the task of the watch, after the lines before it
-            self._error = error
-        try:
-            while self._lines.lines:
-                self._handle_line(self._lines.lines.popleft())
+            self._apply(MAX_WORK_PER_CALL)
         except Exception as error:  # raised in the task of the watch
             self._error = error
+        if self._hold_ups is not None:
+            self._hold_ups.record(Work.ENDPOINT_LIST, began_at)
         if self._error is not None or self._lines.is_at_end:
             self._connection.close()  # wakes the task of the watch
 
+    def _apply(self, max_work: int) -> None:
+        # Read parts of the response and handle their lines, until none is left or `max_work` of both is done.
+        work_done = 0
+        while work_done < max_work:
+            if not self._lines.read_available():
+                self._has_more = False
+                return
+            work_done += 1 + len(self._lines.lines)
+            while self._lines.lines:
+                self._handle_line(self._lines.lines.popleft())
+        self._has_more = True
+
     async def _wait_until_readable(self, timeout_at: float) -> None:
         # Raises TimeoutError only if nothing had arrived at the last read, however late this process runs.
         now = anyio.current_time()
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -7,11 +7,12 @@
 
 from swiftthread.client.discovery_client import DiscoveryClient
 from swiftthread.client.endpoint_client import EndpointClient
+from swiftthread.client.json_stream import MAX_OBJECT_BYTES
 from swiftthread.client.result_notifier import ResultNotifier
 from swiftthread.clocks import Clock, monotonic_ms
 from swiftthread.configuration.node_config import NodeConfig
 from swiftthread.hold_ups import HoldUps
-from swiftthread.memory_account import MemoryAccount, resident_bytes
+from swiftthread.memory_account import MemoryAccount, MemoryUse, resident_bytes
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.routing.router import Router
 from swiftthread.server.http_server import HttpServer
@@ -37,6 +38,9 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+# A list document of this size is read whatever the memory: 1,024 endpoints, indented.
+MIN_DOCUMENT_BYTES = 512 * 1024
+
 
 class NodeBuilder:
     """Builds one node, not yet started, that has the endpoint list of the configuration.
@@ -108,12 +112,18 @@
             idle_timeout_ms=WATCH_IDLE_TIMEOUT_MS,
             connect_timeout_ms=PLATFORM_RESPONSE_TIMEOUT_MS,
             first_line_timeout_ms=self._first_line_timeout_ms(),
+            max_document_bytes=self._max_document_bytes(),
+            hold_ups=self._hold_ups,
         )
 
     def _first_line_timeout_ms(self) -> float:
         # A discovery service that all nodes share may answer late; an agent on this machine does not.
         return math.inf if self._config.settings.polls_discovery else PLATFORM_RESPONSE_TIMEOUT_MS
 
+    def _max_document_bytes(self) -> int:
+        limit = self._memory.limit_of(MemoryUse.ENDPOINT_LIST)
+        return min(MAX_OBJECT_BYTES, max(MIN_DOCUMENT_BYTES, limit))
+
     def _build_endpoint_client(self, discovery: DiscoveryClient) -> EndpointClient:
         return EndpointClient(
             tasks=self._tasks,
@@ -186,7 +196,11 @@
 
     def _build_list_follower(self, discovery: DiscoveryClient) -> EndpointListFollower:
         follower = EndpointListFollower(
-            discovery=discovery, router=self._router, scheduler=self._scheduler, clock=monotonic_ms
+            discovery=discovery,
+            router=self._router,
+            scheduler=self._scheduler,
+            memory=self._memory,
+            clock=monotonic_ms,
         )
         follower.apply_cached_list(self._config.initial_list)
         return follower
--- a/swiftthread/service/list_follower.py
+++ b/swiftthread/service/list_follower.py
@@ -10,21 +10,34 @@
 from swiftthread.client.discovery_client import DiscoveryClient
 from swiftthread.client.http_exchange import PARSE_ERRORS
 from swiftthread.clocks import Clock
+from swiftthread.memory_account import MemoryAccount, MemoryUse
 from swiftthread.routing.messages import EndpointEntry
 from swiftthread.routing.router import Router
 from swiftthread.service.log_filter import STATE_CHANGE
 from swiftthread.service.scheduler import Scheduler
 
+# Memory of an endpoint: its entry, its address, and its state in the router.
+ENDPOINT_BYTES = 5 * 1024
+
 
 class EndpointListFollower:
     """Passes endpoint lists from the configuration and from discovery to the router."""
 
     def __init__(
-        self, *, discovery: DiscoveryClient, router: Router, scheduler: Scheduler, clock: Clock
+        self,
+        *,
+        discovery: DiscoveryClient,
+        router: Router,
+        scheduler: Scheduler,
+        memory: MemoryAccount,
+        clock: Clock,
     ) -> None:
         self._discovery = discovery
         self._router = router
         self._scheduler = scheduler
+        self._memory = memory
+        self._reserved_bytes = 0  # for the endpoints that were listed after the start
+        self._cached_count = 0
         self._clock = clock
         self._started_at = clock()
 
@@ -41,6 +54,7 @@
                 error,
             )
         self._router.apply_cached_endpoint_list(entries, self._clock())
+        self._cached_count = len(entries)
 
     async def run(self) -> None:
         """Keep a discovery watch open; after a failure the router determines when to open the next one."""
@@ -59,9 +73,18 @@
         if not self._router.is_list_confirmed:
             self._report_confirmation(now)
         self._router.apply_endpoint_list(entries, is_complete, now)
+        self._reserve_memory()
         self._scheduler.wake()
         self._scheduler.request_cycle()
 
+    def _reserve_memory(self) -> None:
+        # Reserve memory for the endpoints that were not listed at the start. They are not rejected when there
+        # is none: the other uses then get less.
+        new_count = max(0, len(self._discovery.addresses) - self._cached_count)
+        reserved_bytes = ENDPOINT_BYTES * new_count
+        self._memory.reserve(MemoryUse.ENDPOINT_LIST, reserved_bytes - self._reserved_bytes)
+        self._reserved_bytes = reserved_bytes
+
     def _report_confirmation(self, now: float) -> None:
         logger.bind(**STATE_CHANGE).info(
             "discovery answered {:.0f} ms after the start; the endpoint list has version {}, "
--- a/tests/client/test_list_watch.py
+++ b/tests/client/test_list_watch.py
@@ -8,7 +8,8 @@
 
 from swiftthread.client.endpoint_list import EndpointList, MalformedEndpointList
 from swiftthread.client.http_exchange import HttpRequest, client_parser, encode_request
-from swiftthread.client.list_watch import ListWatch
+from swiftthread.client.json_stream import MalformedJsonStream
+from swiftthread.client.list_watch import MAX_WORK_PER_CALL, ListWatch
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.connection import Connection
 from swiftthread.network.tcp_connection import ConnectionClosed
@@ -119,3 +120,45 @@
         return anyio.current_time() - opened.watch._latest_at
 
     assert 0.05 <= anyio.run(watch) < TEST_TIMEOUT_S
+
+
+def test_a_watch_that_never_stops_sending_lets_other_tasks_run():
+    """Reading went on until all that had come was read, 4 MiB at a time, and held one entry for each line."""
+
+    async def watch():
+        opened = OpenWatch()
+        iteration_count = 0
+        most_lines = 0
+
+        async def observe():
+            nonlocal iteration_count, most_lines
+            while True:
+                await anyio.lowlevel.checkpoint()
+                iteration_count += 1
+                most_lines = max(most_lines, len(opened.watch._lines.lines))
+
+        async def send():
+            await anyio.to_thread.run_sync(opened.peer.sendall, HEAD + b"1\r\n\n\r\n" * 100_000 + END_OF_BODY)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(observe)
+            tasks.start_soon(send)
+            await opened.run()
+            tasks.cancel_scope.cancel()
+        return iteration_count, most_lines
+
+    iteration_count, most_lines = anyio.run(watch)
+    assert iteration_count >= 100_000 // MAX_WORK_PER_CALL and most_lines == 0
+
+
+def test_a_document_that_is_longer_than_its_memory_ends_the_watch():
+    async def watch():
+        opened = OpenWatch()
+        opened.watch = ListWatch(opened.connection, opened.endpoint_list, opened._record_update, 1000)
+        opened.send(HEAD, line_chunk(change(1)), b"3e8\r\n" + b"{" * 1000 + b"\r\n")
+        opened.send(b"3e8\r\n" + b"{" * 1000 + b"\r\n")
+        with pytest.raises(MalformedJsonStream):
+            await opened.run()
+        return opened.updates
+
+    assert anyio.run(watch) == [[("s-1", 1)]]
