An address that passes to another endpoint is not called for the one that had it

Cause: endpoints are keyed by id, and two ids were ready at one address when a list told the addition before the removal; the events of one went to the process of the other. Change: the endpoint that a document named last at an address owns it (client/address_owners.py).

--- a/swiftthread/client/endpoint_list.py
+++ b/swiftthread/client/endpoint_list.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from swiftthread.client.address_owners import AddressOwners
 from swiftthread.client.http_exchange import PARSE_ERRORS
 from swiftthread.network.address import Address, parse_address
 from swiftthread.routing.messages import EndpointEntry
@@ -62,7 +63,9 @@
         """Addresses as (host, port), by endpoint id; the mapping is updated in place."""
         self.consecutive_unreadable_lists = 0
         """How many consecutive list documents, up to the last one, had an entry that could not be parsed."""
-        self._entries: dict[str, EndpointEntry] = {}  # by endpoint id, as last parsed
+        self._entries: dict[str | int, EndpointEntry] = {}  # by endpoint id, as last parsed
+        self._owners = AddressOwners()
+        self._document_count = 0
         # Numbers of zones that are not in the settings, by name; of endpoints without a zone, by id.
         self._unconfigured_zones: dict[str, int] = {}
 
@@ -98,12 +101,14 @@
             self._unconfigured_zones.clear()
             self.expect_complete_list()
             self._oldest_version = version
-        entries = []
+        entries: dict[str | int, EndpointEntry] = {}
+        touched_addresses: set[Address] = set()
+        self._document_count += 1
         has_unreadable = False
         for raw_entry in raw_entries:
             try:
-                entry = self._apply_entry(raw_entry)
-                entries.append(entry)
+                entry = self._apply_entry(raw_entry, touched_addresses)
+                entries[entry.endpoint_id] = entry
                 if not is_complete:
                     self._record_version(entry.endpoint_id, version)
             except PARSE_ERRORS as error:
@@ -116,10 +121,29 @@
                 )
                 endpoint_id = raw_entry.get("id") if isinstance(raw_entry, dict) else None
                 if isinstance(endpoint_id, str) and endpoint_id in known_entries:
-                    entries.append(known_entries[endpoint_id]._replace(is_ready=False))
+                    entries[endpoint_id] = known_entries[endpoint_id]._replace(is_ready=False)
         self.version = max(self.version, version)
         self.consecutive_unreadable_lists = self.consecutive_unreadable_lists + 1 if has_unreadable else 0
-        return EndpointListUpdate(entries, is_complete)
+        if is_complete:
+            touched_addresses |= self._owners.retain(self.addresses.keys())
+        self._apply_ownership(touched_addresses, entries)
+        return EndpointListUpdate(list(entries.values()), is_complete)
+
+    def _apply_ownership(self, addresses: set[Address], entries: dict[str | int, EndpointEntry]) -> None:
+        # Where several endpoints are listed at an address, those that were named there before the last one
+        # are not ready: their process has gone. They are again once that one is removed.
+        for address in addresses:
+            for endpoint_id, is_owner in self._owners.sharing(address).items():
+                entry = entries.get(endpoint_id, self._entries[endpoint_id])
+                if entry.is_ready and not is_owner:
+                    logger.info(
+                        "discovery: the address {}:{} of endpoint {} has passed to another endpoint; "
+                        "nothing more is sent for the first one",
+                        *address,
+                        endpoint_id,
+                    )
+                    entry = entry._replace(is_ready=False)
+                entries[endpoint_id] = entry
 
     def _without_outdated_entries(self, raw_entries: list[Any], version: int) -> list[Any]:
         # Return the entries that no later document has changed.
@@ -145,8 +169,9 @@
             oldest_id = next(iter(self.entry_versions))
             self._oldest_version = max(self._oldest_version, self.entry_versions.pop(oldest_id))
 
-    def _apply_entry(self, raw_entry: Any) -> EndpointEntry:
-        # Parse the entry of one endpoint; it and the address are stored only if all values can be parsed.
+    def _apply_entry(self, raw_entry: Any, touched_addresses: set[Address]) -> EndpointEntry:
+        # Parse the entry of one endpoint; it and the address are stored only if all values can be parsed. The
+        # addresses that an endpoint leaves or gets are added to `touched_addresses`.
         endpoint_id = _parse_value(raw_entry, "id", _require_string)
         state = _parse_value(raw_entry, "state", lambda value: value)
         address = None if state == STATE_DELETED else _parse_value(raw_entry, "addr", parse_address)
@@ -158,11 +183,15 @@
             listed_rate=_parse_value(raw_entry, "weight", _parse_rate) if "weight" in raw_entry else 0.0,
             is_ready=state == STATE_READY,
         )
+        previous_address = self._owners.address_of(endpoint_id)
+        touched_addresses.update(touched for touched in (previous_address, address) if touched is not None)
         if address is None:
+            self._owners.remove(endpoint_id)
             self._entries.pop(endpoint_id, None)
             self.addresses.pop(endpoint_id, None)
             self._unconfigured_zones.pop(endpoint_id, None)
         else:
+            self._owners.set_address(endpoint_id, address, self._document_count)
             self._entries[endpoint_id] = entry
             self.addresses[endpoint_id] = address
         return entry
--- a/tests/client/test_endpoint_list.py
+++ b/tests/client/test_endpoint_list.py
@@ -61,6 +61,35 @@
     assert "s-3" in ready_endpoint_ids(endpoint_list, DOCUMENT, taker, old_drains)
 
 
+TAKER = {"version": 4, "full": False, "servers": [ENTRY | {"id": "s-3", "cell": 7}]}
+TAKER_IS_DELETED = {"version": 5, "servers": [ENTRY | {"id": "s-3", "cell": 7, "state": "DELETED"}]}
+FIRST_AGAIN = {"version": 5, "full": False, "servers": [ENTRY]}
+FIRST_ELSEWHERE = {"version": 5, "full": False, "servers": [ENTRY | {"addr": "127.0.0.1:9"}]}
+ALL_AT_ONE_ADDRESS = {"version": 5, "full": True, "servers": [ENTRY, ENTRY | {"id": "s-3", "cell": 7}]}
+
+
+@pytest.mark.parametrize(
+    "documents, is_first_ready, is_taker_ready",
+    [
+        ([TAKER], False, True),
+        ([TAKER, FIRST_AGAIN], False, True),
+        ([TAKER, TAKER_IS_DELETED], True, False),
+        ([TAKER, FIRST_ELSEWHERE], True, True),
+        ([TAKER, ALL_AT_ONE_ADDRESS], False, True),
+        ([ALL_AT_ONE_ADDRESS], False, True),
+    ],
+)
+def test_the_endpoint_that_was_named_last_at_an_address_owns_it(
+    endpoint_list, documents, is_first_ready, is_taker_ready
+):
+    ready = ready_endpoint_ids(endpoint_list, DOCUMENT, *documents)
+    assert ("s-1" in ready, "s-3" in ready) == (is_first_ready, is_taker_ready)
+
+
+def test_endpoints_that_one_document_names_at_an_address_share_it(endpoint_list):
+    assert ready_endpoint_ids(EndpointList({"plain": 0}, {"east": 0}), ALL_AT_ONE_ADDRESS) == {"s-1", "s-3"}
+
+
 FIRST_DRAINS = {"version": 5, "full": False, "servers": [ENTRY | {"state": "DRAINING"}]}
 FIRST_IS_DELETED = {"version": 5, "full": False, "servers": [ENTRY | {"state": "DELETED"}]}
 SECOND_DRAINS = {"version": 4, "full": False, "servers": [ENTRY | {"id": "s-2", "state": "DRAINING"}]}
