Laboratory: crowds of clients that misbehave, as steps, as an incident and in the soak

The soak had idle crowds and one memory limit that no run came near. Its runs now have 32 to 192 MB and 256 or 1,024 descriptors, one to three crowds at once in about half of them, and signals in series while a node shuts down; a node over its memory limit is a failure.

--- a/swiftthread/lab/crowd.py
+++ b/swiftthread/lab/crowd.py
@@ -60,6 +60,9 @@
 ENDLESS_KINDS = (CrowdKind.MANY_FIELDS, CrowdKind.INVALID, CrowdKind.NEW_NAMES, CrowdKind.UNKNOWN_NAMES)
 """Kinds whose clients send complete requests, one after the other."""
 
+RULE_ABIDING_KINDS = tuple(kind for kind in CrowdKind if kind not in (CrowdKind.NEW_NAMES, CrowdKind.LEAVES))
+"""Kinds whose clients submit no event that a node may accept, so that the referee need not know of them."""
+
 
 @dataclass(frozen=True, slots=True)
 class CrowdTarget:
--- a/swiftthread/lab/incident.py
+++ b/swiftthread/lab/incident.py
@@ -30,6 +30,8 @@
     """The process gets SIGHUP; its configuration is the same as before."""
     CROWD = "idle_clients"
     """Clients open connections that stay idle for `for_ms`, until the node closes them."""
+    MISBEHAVING_CLIENTS = "crowd"
+    """A number of `clients` behave as `crowd` names for `for_ms`; see `CrowdKind`."""
 
 
 class DiscoveryFault(StrEnum):
@@ -238,6 +240,8 @@
             duration of the step. For steps with a random delay it is the longest one. The value is not used
             otherwise.
         factor: The factor that service times, the rate limit or the arrival rate are multiplied by.
+        crowd: What the clients of a `crowd` step do: one of `RULE_ABIDING_KINDS` of `lab/crowd.py`.
+        clients: The number of clients of a `crowd` step.
     """
 
     at_ms: NonNegativeFloat
@@ -247,6 +251,8 @@
     share: Fraction = 1.0
     wait_ms: NonNegativeFloat = 0.0
     factor: PositiveFloat = 1.0
+    crowd: str = ""
+    clients: PositiveCount = 100
 
 
 class EndpointDeclaration(NamedTuple):
--- a/swiftthread/lab/incident_file.py
+++ b/swiftthread/lab/incident_file.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from swiftthread.lab.crowd import RULE_ABIDING_KINDS
 from swiftthread.lab.faults import FaultKind
 from swiftthread.lab.incident import (
     DiscoveryFault,
@@ -30,6 +31,7 @@
         FaultKind.CONNECTIONS_REJECTED,
         FaultKind.PAUSE,
         NodeFault.FREEZE,
+        NodeFault.MISBEHAVING_CLIENTS,
         LoadChange.BURST,
         DiscoveryFault.STOP_RESPONDING,
     }
@@ -138,5 +140,7 @@
         yield f"{key}.on: {step.on!r} matches no declared endpoint"
     elif step.what in NODE_FAULTS and step.on not in [f"node:{n}" for n in range(incident.fleet.nodes)]:
         yield f"{key}.on: {step.on!r} is not a node; expected node:0 to node:{incident.fleet.nodes - 1}"
+    if step.what == NodeFault.MISBEHAVING_CLIENTS and step.crowd not in RULE_ABIDING_KINDS:
+        yield f"{key}.crowd: {step.crowd!r} is not one of {', '.join(RULE_ABIDING_KINDS)}"
     if step.what in STEPS_WITH_DURATION and not step.for_ms:
         yield f"{key}.for_ms: {step.what} requires a duration"
--- a/swiftthread/lab/runner/nodes.py
+++ b/swiftthread/lab/runner/nodes.py
@@ -220,6 +220,9 @@
         if step.what == NodeFault.CROWD:
             await self._hold_idle_clients(step.for_ms)
             return
+        if step.what == NodeFault.MISBEHAVING_CLIENTS:
+            await self._run_crowd(step)
+            return
         self.accumulate_cpu_time()
         if step.what == NodeFault.KILL:
             self._record_state(NodeState.KILLED)
@@ -246,6 +249,15 @@
                 connection.connect_ex(self.address)
             await anyio.sleep(duration_ms / 1000.0)
 
+    async def _run_crowd(self, step: Step) -> None:
+        incident = self.run.incident
+        command = [sys.executable, "-m", "swiftthread.lab", "crowd", self.listen_address()]
+        command += ["--kind", step.crowd, "--clients", str(step.clients)]
+        command += ["--seconds", str(step.for_ms / 1000.0), "--seed", str(self.run.seed)]
+        command += ["--stream", incident.stream[0].name]
+        command += ["--destination", str(incident.destination[0].number)]
+        await anyio.run_process(command, check=False, env=os.environ | {"PYTHONPATH": str(self.run.tree)})
+
     def accumulate_cpu_time(self) -> None:
         """Add the CPU time of the current process to `cpu_ms`; to be called before the process is stopped."""
         self.cpu_ms += self.sample()
--- a/swiftthread/lab/soak.py
+++ b/swiftthread/lab/soak.py
@@ -12,6 +12,7 @@
 
 import anyio
 
+from swiftthread.lab.crowd import RULE_ABIDING_KINDS
 from swiftthread.lab.errors import RunError
 from swiftthread.lab.faults import SOCKET_FAULTS, FaultKind
 from swiftthread.lab.incident import (
@@ -42,7 +43,11 @@
 MAX_LINE_DELAY_MS = 400.0
 # The operators have a process held up for so long at most.
 MAX_FREEZE_MS = 150.0
-SOCKETS = 256
+# Limits of the nodes; each run has one of them.
+MEMORY_MB = (32.0, 48.0, 64.0, 192.0)
+SOCKETS = (256, 1024)
+# A node that is told to shut down still accepts clients for this time, so it is still there.
+MAX_SIGNAL_DELAY_MS = 550.0
 
 RECEIVER_FAULTS = (
     FaultKind.BECOME_UNRESPONSIVE,
@@ -90,11 +95,13 @@
 def draw_incident(seed: int) -> Incident:
     """Return the incident of a seed."""
     rng = random.Random(f"soak {seed}")
+    resources_rng = random.Random(f"soak resources {seed}")
     fleet = Fleet(
         nodes=rng.randint(1, 3),
         calls_out=rng.randint(8, 40),
         room=rng.choice([200, 2000]),
-        sockets=SOCKETS,
+        memory_mb=resources_rng.choice(MEMORY_MB),
+        sockets=resources_rng.choice(SOCKETS),
         batch=rng.choice([1, 1, 4]),
     )
     return Incident(
@@ -109,10 +116,44 @@
         load=_draw_load(rng),
         fleet=fleet,
         rules=Rules(list_delay_ms=rng.uniform(20.0, 300.0)),
-        step=sorted(_draw_steps(rng, fleet), key=lambda step: step.at_ms),
+        step=sorted(_draw_all_steps(rng, resources_rng, fleet), key=lambda step: step.at_ms),
     )
 
 
+def _draw_all_steps(rng: random.Random, resources_rng: random.Random, fleet: Fleet) -> list[Step]:
+    """Return the steps in no particular order."""
+    steps = list(_draw_steps(rng, fleet))
+    for node in range(fleet.nodes):
+        steps += _draw_crowds(resources_rng, f"node:{node}")
+    restarts = [step for step in steps if step.what == NodeFault.RESTART]
+    for restart in restarts:
+        steps += _draw_signals_after(resources_rng, restart)
+    return steps
+
+
+def _draw_crowds(rng: random.Random, node: str) -> Iterator[Step]:
+    """Yield crowds of clients that misbehave, one or several at once, in some runs."""
+    if rng.random() < 0.5:
+        return
+    for kind in rng.sample(RULE_ABIDING_KINDS, rng.randint(1, 3)):
+        at_ms, for_ms = _draw_span(rng, 1000.0, 5000.0)
+        yield Step(
+            at_ms=at_ms,
+            what=NodeFault.MISBEHAVING_CLIENTS,
+            on=node,
+            for_ms=for_ms,
+            crowd=kind.value,
+            clients=rng.randint(10, 200),
+        )
+
+
+def _draw_signals_after(rng: random.Random, restart: Step) -> Iterator[Step]:
+    """Yield signals that come while a node shuts down."""
+    for _ in range(rng.randint(0, 2)):
+        at_ms = restart.at_ms + rng.uniform(1.0, MAX_SIGNAL_DELAY_MS)
+        yield Step(at_ms=at_ms, what=NodeFault.RELOAD, on=restart.on)
+
+
 def _draw_destination(rng: random.Random, number: int) -> Destination:
     return Destination(
         number=number,
@@ -221,6 +262,8 @@
     if result is None:
         return SoakResult(seed, errors, "", 0, folder)
     failures = [breach.describe() for breach in result.breaches]
+    if result.rss_mib > draw_incident(seed).fleet.memory_mb:
+        failures.append(f"a node had {result.rss_mib} MiB")
     failures += [
         f"{node} exited with {code}" for node, code in sorted(result.exit_codes.items()) if code != 0
     ]
