Destinations and zones that lists no longer name are forgotten beyond a number

Cause: a destination that had been listed once, and a zone that the settings do not name, were kept for as long as the process ran. Change: beyond 1,024 destinations without endpoints and events, and beyond 1,024 such zones, the first ones are forgotten. Both new tests fill the tables to twice that.

--- a/swiftthread/client/endpoint_list.py
+++ b/swiftthread/client/endpoint_list.py
@@ -23,6 +23,8 @@
 
 # How many endpoints have a version of their own; the version of the others is that of the complete list.
 MAX_ENTRY_VERSIONS = 1024
+# How many zones that the settings do not name are remembered, so that each is reported once.
+MAX_UNCONFIGURED_ZONES = 1024
 
 
 class MalformedEndpointList(ValueError):
@@ -223,6 +225,8 @@
                 endpoint_id,
                 name,
             )
+            if len(self._unconfigured_zones) > MAX_UNCONFIGURED_ZONES:
+                del self._unconfigured_zones[next(iter(self._unconfigured_zones))]
         return self._unconfigured_zones[zone]
 
 
--- a/swiftthread/routing/endpoint_list.py
+++ b/swiftthread/routing/endpoint_list.py
@@ -15,6 +15,8 @@
 # The state of a removed endpoint is retained for this many warm-ups after its last outcome, in case the list
 # names it again.
 RETENTION_WARM_UPS = 2
+# How many destinations without endpoints and events are retained, in case the list names them again.
+MAX_UNLISTED_DESTINATIONS = 1024
 
 
 class EndpointList:
@@ -70,6 +72,7 @@
         for destination in extended_destinations:
             destination.endpoints.sort(key=lambda endpoint: (endpoint.carriage_cost, endpoint.rank))
         self._drain_unlisted(listed_ids, is_complete, now, forgotten)
+        self._forget_unlisted_destinations()
         return forgotten
 
     def _apply_entry(self, entry: EndpointEntry, forgotten: list[Endpoint]) -> Endpoint | None:
@@ -155,6 +158,20 @@
             not endpoint.calls_in_flight and not endpoint.has_health_check_in_flight and now > retained_until
         )
 
+    def _forget_unlisted_destinations(self) -> None:
+        # Forget the destinations that were named first, if too many have neither endpoints nor events.
+        excess = len(self.destinations) - len(self.endpoints) - MAX_UNLISTED_DESTINATIONS
+        if excess <= 0:
+            return
+        in_use = {endpoint.destination for endpoint in self.endpoints.values()}
+        unlisted = [
+            number
+            for number, destination in self.destinations.items()
+            if destination not in in_use and not destination.pending_count
+        ]
+        for number in unlisted[: max(0, len(unlisted) - MAX_UNLISTED_DESTINATIONS)]:
+            del self.destinations[number]
+
     @staticmethod
     def _drain(endpoint: Endpoint) -> None:
         # Stop choosing an endpoint for attempts: mark it not ready and remove it from its destination.
--- a/swiftthread/service/resource_report.py
+++ b/swiftthread/service/resource_report.py
@@ -38,7 +38,7 @@
 
     def _ended(self) -> str:
         counts = self._server.take_close_counts()
-        return ", ".join(f"{count} {reason}" for reason, count in counts.most_common()) or "none"
+        return ", ".join(f"{count} {reason}" for reason, count in counts.most_common() if count) or "none"
 
     def _process_size(self) -> str:
         resident, start, limit = (
--- a/tests/client/test_endpoint_list.py
+++ b/tests/client/test_endpoint_list.py
@@ -4,7 +4,12 @@
 from loguru import logger
 from support.simulated_node import SimulatedNode
 
-from swiftthread.client.endpoint_list import MAX_ENTRY_VERSIONS, EndpointList, MalformedEndpointList
+from swiftthread.client.endpoint_list import (
+    MAX_ENTRY_VERSIONS,
+    MAX_UNCONFIGURED_ZONES,
+    EndpointList,
+    MalformedEndpointList,
+)
 
 ENTRY = {
     "id": "s-1",
@@ -179,3 +184,11 @@
     finally:
         logger.remove(sink)
     assert any(f"an entry of the list cannot be parsed ({reason}" in line for line in lines)
+
+
+def test_zones_that_the_settings_do_not_name_are_forgotten_beyond_a_number(endpoint_list):
+    """A list that names ever new zones made the table grow for as long as the process ran."""
+    for number in range(2 * MAX_UNCONFIGURED_ZONES):
+        entry = ENTRY | {"id": "e", "zone": f"zone-{number}"}
+        endpoint_list.apply_document({"version": 10 + number, "servers": [entry]})
+    assert len(endpoint_list._unconfigured_zones) == MAX_UNCONFIGURED_ZONES
--- a/tests/routing/test_endpoint_changes.py
+++ b/tests/routing/test_endpoint_changes.py
@@ -4,7 +4,8 @@
 from support.event_bursts import TWO_ENDPOINTS, sends, submit_burst
 from support.simulated_node import SimulatedNode
 
-from swiftthread.routing.messages import SendOutcome
+from swiftthread.routing.endpoint_list import MAX_UNLISTED_DESTINATIONS
+from swiftthread.routing.messages import EndpointEntry, SendOutcome
 
 
 def test_draining_endpoint_gets_no_attempts():
@@ -61,3 +62,14 @@
     run.schedule(900.0, run.apply_endpoint_list, routes)
     run.run_until(6000.0).assert_matches_trace("retry_after_outlasts_list")
     assert sends(run)[1][0] >= 3060.0
+
+
+def test_destinations_that_no_endpoint_has_any_more_are_forgotten_beyond_a_number():
+    """A list that names ever new destinations made the table grow for as long as the process ran."""
+    router = SimulatedNode([], stream_types=[]).session.router
+    for number in range(2 * MAX_UNLISTED_DESTINATIONS):
+        now = 1e6 * number
+        router.apply_endpoint_list([EndpointEntry(f"s-{number}", number, 0, 0, 0.0, True)], True, now)
+    assert len(router.destinations) <= MAX_UNLISTED_DESTINATIONS + 2
+    assert router.find_destination(2 * MAX_UNLISTED_DESTINATIONS - 1) is not None
+    assert router.find_destination(0) is None
