Turns of clients take 5 ms of an iteration of the event loop at most

Cause: every connection with input had a turn in each iteration of the event loop, which then took some 60 ms, and an event takes some ten iterations to its notification. Change: turns share a budget of 5 ms an iteration; connections beyond it wait for the next one, first come, first served (server/turns.py).

--- a/swiftthread/server/client_connection.py
+++ b/swiftthread/server/client_connection.py
@@ -31,7 +31,7 @@
         "times_out_at",
         "request_received_at",
         "reserved_bytes",
-        "is_turn_scheduled",
+        "is_admitted",
         "is_broken",
         "_watcher",
         "_memory",
@@ -55,8 +55,8 @@
         """Monotonic ms at which the first bytes of the request arrived; None if the kernel did not tell."""
         self.reserved_bytes = 0
         """Bytes reserved for its incomplete request."""
-        self.is_turn_scheduled = False
-        """Whether its next turn comes without further input."""
+        self.is_admitted = False
+        """Whether the next request may be read, after it has waited for that."""
         self.is_watched = False
         """Whether a function is called when input or output is possible."""
         self.is_broken = False
--- a/swiftthread/server/http_server.py
+++ b/swiftthread/server/http_server.py
@@ -31,6 +31,7 @@
 from swiftthread.server.request_parser import ParsedRequest, RequestParser
 from swiftthread.server.response import CONTINUE_RESPONSE, encode_response
 from swiftthread.server.submission import Request, parse_submission
+from swiftthread.server.turns import TurnQueue
 from swiftthread.storage.pending_event import PendingEvent
 
 # Time during which the rest of a bad request is read and discarded; enough for 60 MB on loopback.
@@ -112,6 +113,7 @@
         self._request_cycle = request_cycle
         self._admission_queue = AdmissionQueue(admission, request_cycle)
         self._watcher = SocketWatcher()
+        self._turns = TurnQueue(self._run_turn, self._watcher.call_in_next_iteration, monotonic_ms)
         self._has_clients = anyio.Event()
         self._close_counts: Counter[ClientCloseReason] = Counter()
         self.accepted_count = 0
@@ -146,7 +148,8 @@
         for connection in admission.given_up:
             self._end(connection, ClientCloseReason.CLIENT_LEFT)
         for connection in admission.admitted:
-            self._run_turn(connection, self._begin_request)
+            connection.is_admitted = True
+            self._turns.queue(connection)
 
     def waiting_count(self) -> int:
         """Return how many connections wait until their request may be read."""
@@ -212,7 +215,7 @@
         self.accepted_count += 1
         self.connections.add(connection)
         self._has_clients.set()
-        self._run_turn(connection, self._take_turn)  # most clients have sent their request by now
+        self._turns.run_or_queue(connection)  # most clients have sent their request by now
 
     async def _wait_for_capacity(self) -> None:
         # Wait until one more connection may be open; meanwhile new clients wait in the listen backlog.
@@ -242,11 +245,11 @@
         idle_count += self.connections.count(ConnectionState.IDLE_WITHOUT_EVENT)
         return idle_count >= self.limits.max_idle_clients
 
-    def _run_turn(self, connection: ClientConnection, turn: Callable[[ClientConnection], None]) -> None:
+    def _run_turn(self, connection: ClientConnection) -> None:
         # Run one turn of a connection. Whatever fails in it closes this connection only.
         began_at = monotonic_ms()
         try:
-            turn(connection)
+            self._take_turn(connection)
         except ConnectionClosed:
             self._end(connection, ClientCloseReason.CLOSED_BY_CLIENT)
         except Exception:  # protects the other clients: an error here closes only this connection
@@ -254,13 +257,9 @@
             self._end(connection, ClientCloseReason.ERROR)
         self._hold_ups.record(Work.CLIENTS, began_at)
 
-    def _take_scheduled_turn(self, connection: ClientConnection) -> None:
-        connection.is_turn_scheduled = False
-        self._run_turn(connection, self._take_turn)
-
     def _take_turn(self, connection: ClientConnection) -> None:
         state = self.connections.state_of(connection)
-        if state is None or connection.has_unsent_output or connection.is_turn_scheduled:
+        if state is None or connection.has_unsent_output:
             return
         if state is CLOSING:
             if connection.discard_available():
@@ -270,7 +269,8 @@
         elif state is IN_REQUEST:
             self._continue_request(connection)
         elif not connection.has_nothing_to_read():
-            if self._admission_queue.try_admit(connection):
+            if connection.is_admitted or self._admission_queue.try_admit(connection):
+                connection.is_admitted = False
                 self._begin_request(connection)
             else:
                 connection.unwatch()
@@ -279,13 +279,10 @@
 
     def _watch(self, connection: ClientConnection) -> None:
         if not connection.is_watched:
-            connection.watch_input(partial(self._run_turn, connection, self._take_turn))
+            connection.watch_input(partial(self._turns.run_or_queue, connection))
 
     def _begin_request(self, connection: ClientConnection) -> None:
         # Read the first bytes of a request that was admitted.
-        state = self.connections.state_of(connection)
-        if state is None or state is CLOSING:
-            return
         if connection.parser is None:
             data = connection.receive_available()
             if data is None:  # a false alarm
@@ -336,8 +333,7 @@
     def _watch_or_schedule(self, connection: ClientConnection) -> None:
         # The next turn comes with further input, or in the next iteration if there is input to be parsed.
         if connection.parser is not None and connection.parser.has_input:
-            connection.is_turn_scheduled = True
-            self._watcher.call_in_next_iteration(partial(self._take_scheduled_turn, connection))
+            self._turns.queue(connection)
         else:
             self._watch(connection)
 
@@ -442,6 +438,7 @@
 
     def _close(self, connection: ClientConnection) -> None:
         self._admission_queue.remove(connection)
+        self._turns.remove(connection)
         self.connections.close(connection)
 
     async def _check_timeouts(self) -> None:
@@ -452,7 +449,8 @@
                 await self._has_clients.wait()
             now = anyio.current_time()
             for connection in self.connections.timed_out(now):
-                self._run_turn(connection, self._end_timed_out)
+                if connection.is_open and connection.times_out_at <= now:
+                    self._end_timed_out(connection)
             await anyio.sleep(TIMEOUT_CHECK_INTERVAL_S)
 
     def _end_timed_out(self, connection: ClientConnection) -> None:
@@ -461,14 +459,15 @@
             self._end(connection, ClientCloseReason.RESPONSE_NOT_READ)
         elif state is IN_REQUEST:
             # What has arrived at the same time as the time-out is read first.
-            self._take_turn(connection)
+            self._run_turn(connection)
             if self.connections.state_of(connection) is IN_REQUEST:
                 self._reject(connection, HttpStatus.REQUEST_TIMEOUT, ClientCloseReason.REQUEST_TIMEOUT)
         elif connection.has_nothing_to_read():
             self._begin_graceful_close(connection, ClientCloseReason.IDLE_TIMEOUT)
         else:  # the request arrived at the same time as the time-out: it is read, whether admitted or not
             self._admission_queue.remove(connection)
-            self._begin_request(connection)
+            connection.is_admitted = True
+            self._turns.queue(connection)
 
 
 async def _wait_for_client(listener: socket.socket) -> bool:
