--- a/swiftthread/service/delivery.py
+++ b/swiftthread/service/delivery.py
@@ -30,11 +30,14 @@
 EVENT_BYTES = 9 * 1024
 # An event's body is held twice while a call with it is in flight.
 COPIES_OF_BODY = 2
+# Copies of the name of its tenant: the event's, and those in the records of the log.
+COPIES_OF_TENANT = 2
 
 
 def event_bytes(pending: PendingEvent) -> int:
     """Return the memory that an event takes until its end."""
-    return EVENT_BYTES + COPIES_OF_BODY * len(pending.body)
+    tenant_bytes = len(pending.tenant or "")
+    return EVENT_BYTES + COPIES_OF_BODY * len(pending.body) + COPIES_OF_TENANT * tenant_bytes
 
 
 class EventDelivery:
--- a/tests/node/test_memory_limit.py
+++ b/tests/node/test_memory_limit.py
@@ -8,6 +8,8 @@
 from support.fake_servers import FakeEndpoint
 from support.node_process import NodeProcess
 
+from swiftthread.memory_account import SHARES, UNACCOUNTED_SHARE, MemoryUse
+
 # Of submissions on new connections, this share gets a response within the time that clients wait.
 MIN_ANSWERED_SHARE = 0.9
 CROWD_START_S = 0.8
@@ -85,3 +87,16 @@
         "new_names": 5,
     }
     check_memory_and_service(tmp_path, crowds, limit_mb=32, sockets=1024)
+
+
+def test_long_names_of_tenants_count_toward_the_memory_of_events(tmp_path):
+    """They took 15 KB for each event that counted as 9 KB."""
+    limits = {"memory_mb": 40, "sockets": 256, "disk_mb": 100}
+    with NodeProcess(tmp_path, FakeEndpoint(None), limits=limits, Permissions={"MaxOpen": 4000}) as node:
+        start_mb = process_memory_mb(node.process, "VmRSS")
+        statuses = [node.submit(body=b"", **{"X-Org": f"{number}-" + "t" * 15_000}) for number in range(1200)]
+        accepted_count = statuses.count(202)
+        assert 50 < accepted_count < len(statuses)
+        available_mb = limits["memory_mb"] - start_mb
+        events_share = UNACCOUNTED_SHARE + (1 - UNACCOUNTED_SHARE) * SHARES[MemoryUse.EVENTS]
+        assert process_memory_mb(node.process, "VmHWM") - start_mb < events_share * available_mb
