--- a/swiftthread/server/connection_handler.py
+++ b/swiftthread/server/connection_handler.py
@@ -69,7 +69,14 @@
         admission: AdmissionPolicy,
         request_cycle: Callable[[], None],
     ) -> None:
-        # The arguments are those of `HttpServer`.
+        # `admit` decides whether the node accepts an event that came on a connection, and returns the result
+        # for its client. `stream_types` are the names of the stream types that the node serves. `limits` are
+        # the limits on the number of client connections. `hold_ups` records how long turns take. `log_clock`
+        # returns the time in ms on the clock of the write-ahead log. `first_request_timeout_ms` is the
+        # longest time from the accept to the last byte of a connection's first request. `request_timeout_ms`
+        # is the longest time from the first byte of a request to its last byte. `idle_timeout_ms` is the
+        # longest time from a response to the first byte of the next request. `admission` limits how many
+        # requests may be read. `request_cycle` requests a scheduling cycle.
         self.limits = limits
         self.connections = ConnectionTable()
         self.close_counts: Counter[ClientCloseReason] = Counter()
--- a/swiftthread/server/http_server.py
+++ b/swiftthread/server/http_server.py
@@ -5,7 +5,7 @@
 import math
 import socket
 from collections import Counter
-from collections.abc import Callable, Container
+from collections.abc import Callable
 from itertools import islice
 
 import anyio
@@ -14,10 +14,8 @@
 from loguru import logger
 
 from swiftthread.clocks import monotonic_ms
-from swiftthread.hold_ups import HoldUps
 from swiftthread.memory_account import MemoryAccount, MemoryUse
 from swiftthread.network.buffer_pool import BufferPool
-from swiftthread.server.admission_queue import AdmissionPolicy
 from swiftthread.server.client_close_reason import ClientCloseReason
 from swiftthread.server.client_connection import CONNECTION_BYTES, ClientConnection
 from swiftthread.server.connection_handler import ConnectionHandler, ConnectionLimits
@@ -27,8 +25,6 @@
     ConnectionState,
     ConnectionTable,
 )
-from swiftthread.server.messages import AdmissionResult, Submitter
-from swiftthread.storage.pending_event import PendingEvent
 
 # Time in which `finish_shutdown` answers and closes all connections. It begins at least 0.3 s before SIGKILL.
 SHUTDOWN_TIMEOUT_S = 0.2
@@ -51,48 +47,24 @@
 
     def __init__(
         self,
-        admit: Callable[[PendingEvent, Submitter], AdmissionResult],
-        stream_types: Container[str],
+        handler: ConnectionHandler,
         buffers: BufferPool,
         limits: ConnectionLimits,
         memory: MemoryAccount,
-        hold_ups: HoldUps,
-        log_clock: Callable[[], float],
-        first_request_timeout_ms: float,
-        request_timeout_ms: float,
-        idle_timeout_ms: float,
-        admission: AdmissionPolicy,
         request_cycle: Callable[[], None],
     ) -> None:
-        # Create a server; `serve` runs it. `admit` decides whether the node accepts an event that came on a
-        # connection, and returns the result for its client. `stream_types` are the names of the stream types
-        # that the node serves. `buffers` are the receive buffers. `limits` are the limits on the number of
-        # client connections. `memory` is the account of the memory that requests hold. `hold_ups` records how
-        # long turns take. `log_clock` returns the time in ms on the clock of the write-ahead log.
-        # `first_request_timeout_ms` is the longest time from the accept to the last byte of a connection's
-        # first request. `request_timeout_ms` is the longest time from the first byte of a request to its last
-        # byte. `idle_timeout_ms` is the longest time from a response to the first byte of the next request.
-        # `admission` limits how many requests may be read. `request_cycle` requests a scheduling cycle,
-        # during which the caller must call `admit_waiting`.
+        # Create a server; `serve` runs it. `handler` serves the connections that it accepts. `buffers` are
+        # the receive buffers. `limits` are the limits on the number of client connections. `memory` is the
+        # account of the memory that connections and requests hold. `request_cycle` requests a scheduling
+        # cycle, during which the caller must call `admit_waiting`.
         self.limits = limits
         self.accepted_count = 0
         """Connections accepted since the start."""
+        self._handler = handler
         self._buffers = buffers
         self._memory = memory
         self._request_cycle = request_cycle
         self._has_clients = anyio.Event()
-        self._handler = ConnectionHandler(
-            admit,
-            stream_types,
-            limits,
-            hold_ups,
-            log_clock,
-            first_request_timeout_ms,
-            request_timeout_ms,
-            idle_timeout_ms,
-            admission,
-            request_cycle,
-        )
 
     @property
     def connections(self) -> ConnectionTable:
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -15,6 +15,7 @@
 from swiftthread.memory_account import MemoryAccount, MemoryUse, resident_bytes
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.routing.router import Router
+from swiftthread.server.connection_handler import ConnectionHandler
 from swiftthread.server.http_server import HttpServer
 from swiftthread.service.activity import Activity
 from swiftthread.service.admission import AdmissionController
@@ -179,12 +180,10 @@
         )
 
     def _build_server(self, submissions: SubmissionHandler) -> HttpServer:
-        return HttpServer(
+        handler = ConnectionHandler(
             admit=submissions.admit,
             stream_types=self._config.setting_numbers.stream_type_numbers,
-            buffers=self._buffers,
             limits=self._limits,
-            memory=self._memory,
             hold_ups=self._hold_ups,
             log_clock=self._log_clock,
             first_request_timeout_ms=FIRST_REQUEST_TIMEOUT_MS,
@@ -193,6 +192,7 @@
             admission=self._admission,
             request_cycle=self._scheduler.request_cycle,
         )
+        return HttpServer(handler, self._buffers, self._limits, self._memory, self._scheduler.request_cycle)
 
     def _build_list_follower(self, discovery: DiscoveryClient) -> EndpointListFollower:
         follower = EndpointListFollower(
--- a/tests/server/test_connection_close.py
+++ b/tests/server/test_connection_close.py
@@ -16,7 +16,7 @@
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.network.listener import open_listener
 from swiftthread.server.client_connection import ClientConnection
-from swiftthread.server.connection_handler import IN_REQUEST
+from swiftthread.server.connection_handler import IN_REQUEST, ConnectionHandler
 from swiftthread.server.connection_table import ConnectionState
 from swiftthread.server.http_server import STALLED_AFTER_MS, HttpServer
 from swiftthread.server.messages import AdmissionResult
@@ -47,13 +47,12 @@
         self.tasks = tasks
         self.admission = AdmissionController(5.0)
         self.listener = open_listener(("127.0.0.1", 0), 64)
-        self.server = HttpServer(
+        limits = Limits({"sockets": 256}, 8, 500.0)
+        handler = ConnectionHandler(
             admit=self.admit,
             stream_types={"once": 0},
-            buffers=BufferPool(),
-            limits=Limits({"sockets": 256}, 8, 500.0),
+            limits=limits,
             hold_ups=HoldUps(),
-            memory=MemoryAccount(64 * BYTES_PER_MIB, 0),
             log_clock=lambda: 0.0,
             first_request_timeout_ms=60000.0,
             request_timeout_ms=60000.0,
@@ -61,6 +60,8 @@
             admission=self.admission,
             request_cycle=lambda: None,
         )
+        memory = MemoryAccount(64 * BYTES_PER_MIB, 0)
+        self.server = HttpServer(handler, BufferPool(), limits, memory, request_cycle=lambda: None)
         tasks.start_soon(self.server.serve, self.listener, tasks)
 
     def admit(self, pending, submitter):
