An error at the time-out of a connection, or after its response, closes that connection alone

Found while the change was read again: the check of time-outs ran unprotected since connections have no task, so an error there would have ended the process. Change: whatever is done for one connection runs in one place that logs the error and closes it. The new test of injected faults fails before: the node ends.

--- a/swiftthread/server/connection_handler.py
+++ b/swiftthread/server/connection_handler.py
@@ -114,16 +114,19 @@
         return self.connections.state_of(connection) in INACTIVE_STATES
 
     def _run_turn(self, connection: ClientConnection) -> None:
-        # Run one turn of a connection. Whatever fails in it closes this connection only.
         began_at = monotonic_ms()
+        self._protect(connection, partial(self._take_turn, connection))
+        self._hold_ups.record(Work.CLIENTS, began_at)
+
+    def _protect(self, connection: ClientConnection, work: Callable[[], None]) -> None:
+        # Do work for a connection. Whatever fails in it closes this connection only.
         try:
-            self._take_turn(connection)
+            work()
         except ConnectionClosed:
             self.end(connection, ClientCloseReason.CLOSED_BY_CLIENT)
         except Exception:  # protects the other clients: an error here closes only this connection
             logger.exception("serving a client connection failed; the connection is closed")
             self.end(connection, ClientCloseReason.ERROR)
-        self._hold_ups.record(Work.CLIENTS, began_at)
 
     def _take_turn(self, connection: ClientConnection) -> None:
         state = self.connections.state_of(connection)
@@ -265,7 +268,8 @@
         closes_connection |= connection.is_first_request and self._is_at_idle_limit()
         connection.is_first_request = False
         response = encode_response(result.status, closes_connection, result.retry_after_ms)
-        connection.send(response, partial(self._finish_response, connection, result, closes_connection))
+        finish = partial(self._finish_response, connection, result, closes_connection)
+        connection.send(response, partial(self._protect, connection, finish))
 
     def _finish_response(
         self, connection: ClientConnection, result: AdmissionResult, closes_connection: bool
@@ -337,6 +341,9 @@
 
     def end_timed_out(self, connection: ClientConnection) -> None:
         """End a connection, or the request on it, whose time-out has passed."""
+        self._protect(connection, partial(self._end_timed_out, connection))
+
+    def _end_timed_out(self, connection: ClientConnection) -> None:
         state = self.connections.state_of(connection)
         if state is CLOSING or connection.has_unsent_output:
             self.end(connection, ClientCloseReason.RESPONSE_NOT_READ)
--- a/tests/service/test_internal_errors.py
+++ b/tests/service/test_internal_errors.py
@@ -124,3 +124,13 @@
                 node.submit()
         wait_until(lambda: len(endpoint.calls) >= 3)
         assert "a client could not be accepted" in check_still_serves(node, endpoint)
+
+
+def test_error_at_the_time_out_of_a_connection_closes_only_that_connection(tmp_path):
+    """It would end the task that checks all connections, and with it the process."""
+    endpoint = FakeEndpoint()
+    fault = "swiftthread.server.connection_handler:ConnectionHandler._begin_graceful_close 1"
+    with node_with_fault(tmp_path, fault, endpoint) as node:
+        with node.open() as idle, contextlib.suppress(ConnectionResetError):
+            assert idle.recv(1) == b""
+        assert "serving a client connection failed" in check_still_serves(node, endpoint)
