--- a/swiftthread/server/http_server.py
+++ b/swiftthread/server/http_server.py
@@ -130,14 +130,13 @@
         # a socket with unread bytes sends a reset, which may overtake a response. Each connection therefore
         # gets time for its request to be read and answered.
         with anyio.move_on_after(SHUTDOWN_TIMEOUT_S):
-            is_backlog_empty = False
-            while len(self.connections) or not is_backlog_empty:
-                is_backlog_empty = is_backlog_empty or self._accept_backlog(listener)
+            while len(self.connections) or listener.fileno() >= 0:
+                if listener.fileno() >= 0 and self._accept_backlog(listener):
+                    _close_listener(listener)  # who connects now is refused, and may submit elsewhere
                 self._begin_close_of_inactive(math.inf)
                 self._request_cycle()  # waiting requests are admitted in a scheduling cycle
                 await anyio.sleep(SHUTDOWN_POLL_INTERVAL_S)
-        anyio.notify_closing(listener)
-        listener.close()
+        _close_listener(listener)
         for connection in self.connections.all():
             self._handler.close(connection)
 
@@ -150,8 +149,8 @@
                 self._accept(listener)
         except BlockingIOError:
             return True
-        except OSError:
-            return listener.fileno() < 0
+        except OSError:  # no descriptor is free: the next poll tries again
+            return False
         return False
 
     def _accept(self, listener: socket.socket) -> None:
@@ -205,6 +204,12 @@
             await anyio.sleep(TIMEOUT_CHECK_INTERVAL_S)
 
 
+def _close_listener(listener: socket.socket) -> None:
+    if listener.fileno() >= 0:
+        anyio.notify_closing(listener)
+        listener.close()
+
+
 async def _wait_for_client(listener: socket.socket) -> bool:
     # Wait until a client connects; return False once the listener is closed.
     try:
--- a/tests/server/test_connection_close.py
+++ b/tests/server/test_connection_close.py
@@ -202,3 +202,19 @@
         await in_process.wait_until_all_closed()
 
     run_with_server(test)
+
+
+def test_once_all_waiting_clients_are_accepted_a_shutdown_refuses_new_ones():
+    """Their connects succeeded, and the end of the shutdown reset them with their request unread."""
+
+    async def test(in_process):
+        idle = await in_process.open_idle_client()  # it does not close, so the shutdown waits for it
+        address = in_process.listener.getsockname()
+        in_process.tasks.start_soon(in_process.server.finish_shutdown, in_process.listener)
+        await wait_until(lambda: in_process.server.connections.count(ConnectionState.CLOSING))
+        with pytest.raises(ConnectionRefusedError):
+            socket.create_connection(address)
+        await in_process.wait_until_all_closed()
+        idle.close()
+
+    run_with_server(test)
