review: after a restart messages go to a foreign destination that has a gone endpoint's address

Cause: which endpoint owns an address is known only by the order of the list documents; a restart gets both in one.

--- a/review/standins2/standins.py
+++ b/review/standins2/standins.py
@@ -109,6 +109,7 @@
         endpoint_id: str,
         cell: int,
         respond: Callable[[Call], Answer | None] = done,
+        port: int = 0,
         **fields: Any,
     ) -> None:
         self.endpoint_id = endpoint_id
@@ -120,7 +121,8 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.socket = socket.socket()
-        self.socket.bind((HOST, 0))
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind((HOST, port))
         self.port = self.socket.getsockname()[1]
 
     def entry(self, state: str = "SERVING") -> dict[str, Any]:
@@ -132,6 +134,14 @@
         """Begin to accept connections."""
         self._server = await asyncio.start_server(self._serve, sock=self.socket)
 
+    def crash(self) -> None:
+        """End the process that the endpoint stands for: new connections are refused, open ones end."""
+        self._record.note(f"endpoint {self.endpoint_id} ends")
+        assert self._server is not None
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task is not None
