review: the case of the cold destination has an endpoint replaced in the outage

Cause: a new endpoint of a destination that is known to be cold gets calls at the full listed rate, a clearer fault than the one call that was refused.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A node that was refused in an outage sends a clump to the destination that has come back cold."""
+"""An endpoint of a destination is replaced when the destination comes back cold from an outage."""
 
 import asyncio
 import math
@@ -22,30 +22,32 @@
 
 CAPACITY_PER_S = 60.0  # also the listed rate
 USUAL_S = 0.25  # time of one call at usual pace
-QUEUE = 60  # calls that wait at the destination; further ones are turned away
+QUEUE = 90  # calls that wait: 6 for each of the 15 that it does at once; further ones are turned away
 COLD_FROM = 0.18
 WARM_UP_S = 9.5
 FALL_S = 2.0
 FALL_MULTIPLE = 2.0
-QUIET_S = 4.0
-OUTAGE_S = 8.0
-CLUMP_S = 3.4  # the clump is as large as what the destination takes in this time
-WAIT_S = 1.5  # the node calls so long before the outage ends
-DEADLINE_S = 5.0
+QUIET_S = 5.0
+OUTAGE_S = 9.0
+REPLACED_AFTER_S = 0.1  # after the return
+TRAFFIC_PER_S = 50.0
+DEADLINE_S = 28.0
 CALLS_OUT = 110  # 2.3 times what 120 messages a second of 0.4 s keep busy
+MAX_OPEN = 1100  # 9 s of 120 messages a second
 
 
 class Partner:
-    """A destination with one endpoint: usual, shut, then cold and warming up."""
+    """A destination with two endpoints: usual, refusing connections, then cold and warming up."""
 
     def __init__(self, record: Record) -> None:
         self.record = record
-        self.outage_began_at = math.inf
         self.returned_at = math.inf
-        self.refused_count = 0
-        self.opens_at = math.inf
         self.served_until = 0.0
-        self.endpoint = Endpoint(record, "s-1", 1, self.respond, weight=CAPACITY_PER_S)
+        self.endpoints = [self.new_endpoint("s-0"), self.new_endpoint("s-1")]
+
+    def new_endpoint(self, name: str, port: int = 0) -> Endpoint:
+        """Return another endpoint of the destination."""
+        return Endpoint(self.record, name, 1, self.respond, port=port, weight=CAPACITY_PER_S)
 
     def capacity(self, at: float) -> float:
         """Return the calls a second that it can do."""
@@ -56,18 +58,29 @@
 
     def respond(self, call: Call) -> Answer:
         """Answer a call."""
-        if self.outage_began_at <= call.at < self.returned_at:
-            self.refused_count += 1
-            return Answer(429, headers=(f"Retry-After: {self.opens_at - call.at:.3f}",))
         capacity = self.capacity(call.at)
         if (self.served_until - call.at) * capacity > QUEUE:
             return Answer(503)
         self.served_until = max(self.served_until, call.at) + 1.0 / capacity
         return Answer(200, delay_s=self.served_until - call.at + USUAL_S)
 
+    async def refuse(self, duration_s: float) -> None:
+        """Refuse connections at all endpoints for a time, then come back cold."""
+        self.record.note("the outage begins")
+        for endpoint in self.endpoints:
+            endpoint.crash()
+        await asyncio.sleep(duration_s)
+        for index, endpoint in enumerate(self.endpoints):
+            returned = self.new_endpoint(endpoint.endpoint_id, endpoint.port)
+            self.endpoints[index] = returned
+            await returned.start()
+        self.returned_at = self.record.now()
+        self.record.note("the outage ends")
+
     def stays_up(self) -> bool:
         """Return whether it never got more calls than the settings and the slack for chance allow."""
-        arrivals = [call.at for call in self.endpoint.calls if call.at >= self.returned_at]
+        calls = [call for endpoint in self.endpoints for call in endpoint.calls]
+        arrivals = sorted(call.at for call in calls if call.at >= self.returned_at)
         falls_at = None
         worst = (0.0, "no call")
         for end in arrivals:
@@ -89,11 +102,13 @@
     platform = Platform(record)
     await platform.start()
     partner = Partner(record)
-    platform.entries["s-1"] = partner.endpoint.entry()
-    await partner.endpoint.start()
+    for endpoint in partner.endpoints:
+        platform.entries[endpoint.endpoint_id] = endpoint.entry()
+        await endpoint.start()
     document = settings(
-        [profile("till-status", "retryable", 1.5, DEADLINE_S, LateWorth=0.0)],
+        [profile("sale-posting", "dedup", 4.0, DEADLINE_S, Window=12.0)],
         Domain={"CallsOut": CALLS_OUT},
+        Permissions={"MaxOpen": MAX_OPEN},
         Obligations={
             "ColdFrom": COLD_FROM,
             "Fall": FALL_S,
@@ -102,39 +117,32 @@
         },
     )
     node = Node(record, folder, platform, document)
-    count = 0
+    handed_in: list[asyncio.Task[int]] = []
 
-    async def hand_in() -> int:
-        nonlocal count
-        count += 1
-        name = f"m{count}"
-        return await submit(record, node, name, request_bytes(name, "till-status", 1, 5000))
+    async def traffic(duration_s: float) -> None:
+        until = record.now() + duration_s
+        while record.now() < until:
+            name = f"m{len(handed_in)}"
+            request = request_bytes(name, "sale-posting", 1, int(1000 * DEADLINE_S), key=f"key-{name}")
+            handed_in.append(asyncio.create_task(submit(record, node, name, request)))
+            await asyncio.sleep(1.0 / TRAFFIC_PER_S)
 
     try:
         await node.start()
-        for _ in range(int(QUIET_S * 10)):
-            await hand_in()
-            await asyncio.sleep(0.1)
-        await asyncio.sleep(1.0)  # all calls are over
-        if TROUBLE:
-            partner.outage_began_at = record.now()
-            partner.opens_at = partner.outage_began_at + OUTAGE_S
-            record.note("the outage begins")
-        await asyncio.sleep(OUTAGE_S - WAIT_S)
-        await hand_in()
+        await traffic(QUIET_S)
         if TROUBLE:
-            await asyncio.sleep(partner.opens_at - record.now())
-            partner.returned_at = record.now()
-            record.note("the outage ends")
-            if not partner.refused_count:
-                raise CannotRun("the node was not refused")
+            await asyncio.gather(partner.refuse(OUTAGE_S), traffic(OUTAGE_S + REPLACED_AFTER_S))
         else:
-            await asyncio.sleep(WAIT_S)
-        statuses = []
-        for _ in range(int(CLUMP_S * CAPACITY_PER_S)):
-            statuses.append(await hand_in())
-        record.note(f"the clump: {statuses.count(202)} of {len(statuses)} taken on")
-        await asyncio.sleep(WARM_UP_S)
+            await traffic(OUTAGE_S + REPLACED_AFTER_S)
+        if TROUBLE and "was marked down" not in node.log():
+            raise CannotRun("the node saw no call fail")
+        new = partner.new_endpoint("s-2")
+        partner.endpoints.append(new)
+        await new.start()
+        platform.change(partner.endpoints[0].entry("DELETED"), new.entry())
+        await traffic(WARM_UP_S + 1.0)
+        statuses = [task.result() for task in handed_in if task.done()]
+        record.note(f"{statuses.count(202)} of {len(statuses)} messages taken on")
         return partner.stays_up()
     finally:
         await node.kill()
