--- a/review/standins2/standins.py
+++ b/review/standins2/standins.py
@@ -242,7 +242,8 @@
                     line = await asyncio.wait_for(lines.get(), EMPTY_LINE_INTERVAL_S)
                 await self._wait_until_up()
         finally:
-            self._watches.remove(lines)
+            if lines in self._watches:
+                self._watches.remove(lines)
 
 
 def settings(profiles: list[dict[str, Any]], **changes: dict[str, Any]) -> dict[str, Any]:
