review: asked discovery is not asked again in time, and messages go to a foreign endpoint

Cause: the pause after failed requests grows to 10 s, past the 6 s after which a change counts as told.

--- a/review/standins2/standins.py
+++ b/review/standins2/standins.py
@@ -177,12 +177,21 @@
         self.port = 0
         self._record = record
         self._watches: list[asyncio.Queue[str]] = []
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.refuses = False
 
     async def start(self) -> None:
         """Begin to listen."""
         server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = server.sockets[0].getsockname()[1]
 
+    def refuse(self) -> None:
+        """Refuse calls for lists, and end the open watches; notices are answered as ever."""
+        self._record.note("discovery refuses calls")
+        self.refuses = True
+        for writer in self._writers:
+            writer.close()
+
     def document(self) -> dict[str, Any]:
         """Return the whole list."""
         return {"version": self.version, "full": True, "servers": list(self.entries.values())}
@@ -200,6 +209,7 @@
             watch.put_nowait(line)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 call = await read_request(reader, self._record)
@@ -207,6 +217,9 @@
                     self._note_notices(call)
                     writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
                     await writer.drain()
+                elif self.refuses:
+                    writer.write(Answer(503).encode())
+                    await writer.drain()
                 elif "watch=1" in call.path:
                     await self._watch(writer)
                 else:
@@ -214,6 +227,7 @@
                     body = json.dumps(self.document()).encode()
                     writer.write(Answer(200, body).encode())
                     await writer.drain()
+        self._writers.discard(writer)
         writer.close()
 
     def _note_notices(self, call: Call) -> None:
@@ -315,8 +329,11 @@
 class Node:
     """A delivery node, started with the command of the deploy file."""
 
-    def __init__(self, record: Record, folder: Path, platform: Platform, document: dict[str, Any]) -> None:
+    def __init__(
+        self, record: Record, folder: Path, platform: Platform, document: dict[str, Any], number: int = 0
+    ) -> None:
         self.port = free_port()
+        self._number = number
         self._record = record
         self._platform = platform
         self._settings = document
@@ -328,11 +345,11 @@
     async def start(self, known: dict[str, Any] | None = None) -> None:
         """Start the node, with the list that it last had, and wait until it is ready."""
         config = {
-            "name": "n0",
+            "name": f"n{self._number}",
             "listen": f"{HOST}:{self.port}",
             "discovery": f"{HOST}:{self._platform.port}",
             "state": str(self._folder / "state"),
-            "seed": f"{0x8C1F30D2 + self._starts:016x}",
+            "seed": f"{0x8C1F30D2 + 1000 * self._number + self._starts:016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
             "known": known or self._platform.document(),
             "settings": self._settings,
