review: an indented list of a large fleet is refused for good, and messages go to a foreign endpoint

Cause: a list document is bounded by a tenth of the account of memory, or 512 KiB ("1,024 endpoints, indented"). A longer list is refused, the whole list is requested again, and it is as long: the node goes by the list of its start for as long as it runs.

The platform of the stand-ins can indent its lists, and a node can have another memory limit.

--- a/review/standins2/standins.py
+++ b/review/standins2/standins.py
@@ -179,6 +179,8 @@
         self._watches: list[asyncio.Queue[str]] = []
         self._writers: set[asyncio.StreamWriter] = set()
         self.refuses = False
+        self.indent: int | None = None
+        """How far lists are indented; None: not at all."""
 
     async def start(self) -> None:
         """Begin to listen."""
@@ -203,8 +205,9 @@
             self.entries[entry["id"]] = entry
             if entry["state"] == "DELETED":
                 del self.entries[entry["id"]]
-        line = json.dumps({"version": self.version, "full": False, "servers": list(entries)})
-        self._record.note(f"discovery has {line}")
+        document = {"version": self.version, "full": False, "servers": list(entries)}
+        self._record.note(f"discovery has {json.dumps(document)}")
+        line = json.dumps(document, indent=self.indent)
         for watch in self._watches:
             watch.put_nowait(line)
 
@@ -224,7 +227,7 @@
                     await self._watch(writer)
                 else:
                     await self._wait_until_up()
-                    body = json.dumps(self.document()).encode()
+                    body = json.dumps(self.document(), indent=self.indent).encode()
                     writer.write(Answer(200, body).encode())
                     await writer.drain()
         self._writers.discard(writer)
@@ -246,7 +249,7 @@
         self._watches.append(lines)
         try:
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            line = json.dumps(self.document())
+            line = json.dumps(self.document(), indent=self.indent)
             while True:
                 data = line.encode() + b"\n"
                 writer.write(b"%x\r\n%s\r\n" % (len(data), data))
@@ -330,8 +333,15 @@
     """A delivery node, started with the command of the deploy file."""
 
     def __init__(
-        self, record: Record, folder: Path, platform: Platform, document: dict[str, Any], number: int = 0
+        self,
+        record: Record,
+        folder: Path,
+        platform: Platform,
+        document: dict[str, Any],
+        number: int = 0,
+        memory_mb: int = 192,
     ) -> None:
+        self.memory_mb = memory_mb
         self.port = free_port()
         self._number = number
         self._record = record
@@ -350,7 +360,7 @@
             "discovery": f"{HOST}:{self._platform.port}",
             "state": str(self._folder / "state"),
             "seed": f"{0x8C1F30D2 + 1000 * self._number + self._starts:016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+            "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": 1024, "disk_mb": 3},
             "known": known or self._platform.document(),
             "settings": self._settings,
         }
