A new endpoint shares the outage and the warm-up of its destination

Cause: is_down and the warm-up were kept on each Endpoint, while the capacity that is cold belongs to what shares a rate limit. A new Endpoint object had neither, so neither selection nor recovery slots paced its calls.

Change: RecoveryState, one for each rate limiter, holds outage, warm-up and slots. It is down from when an endpoint is marked down until any endpoint acks; an endpoint that never acked follows it and waits for a recovery slot. Endpoints that have acked are judged by their own calls, as before. An endpoint whose kind of route changes keeps its outage; a destination that is down or warming up is forgotten last.

--- a/swiftthread/routing/endpoint.py
+++ b/swiftthread/routing/endpoint.py
@@ -51,12 +51,14 @@
     ejected_until_by_stream_type: dict[StreamType, float] = field(default_factory=dict)
     """One entry per stream type; an ack deletes it."""
 
-    is_down: bool = False
+    is_marked_down: bool = False
+    """Whether failed calls, to it or to endpoints that share its limiter, have marked it down."""
     is_unresponsive: bool = False
     """Whether the last failure was a call that timed out; calls still in flight do not matter."""
     has_health_check_in_flight: bool = False
     has_passed_health_check: bool = False
-    warm_up_began_at: float = -math.inf
+    own_warm_up_began_at: float = -math.inf
+    """When its own warm-up began; -inf if it was never down."""
 
     consecutive_rejected_connections: int = 0
     """Consecutive calls that were rejected together with their new connection."""
@@ -70,10 +72,32 @@
     An endpoint whose calls are not paced has no other pause.
     """
 
+    @property
+    def is_down(self) -> bool:
+        """Whether it gets no calls but trials.
+
+        One that never acked a call is down together with its destination or route, although it may have been
+        listed after the outage began.
+        """
+        has_acked = self.acked_at > -math.inf
+        return self.is_marked_down or (not has_acked and self.rate_limiter.recovery.is_down)
+
     @property
     def is_down_without_own_failure(self) -> bool:
         """Whether it was marked down because of other endpoints' failures and has not failed itself."""
-        return self.is_down and not self.consecutive_failures
+        return self.is_marked_down and not self.consecutive_failures
+
+    @property
+    def warm_up_began_at(self) -> float:
+        """When its warm-up or that of its destination or route began, the later of both; -inf for none."""
+        return max(self.own_warm_up_began_at, self.rate_limiter.recovery.warm_up_began_at)
+
+    def continue_outage_of(self, former: Endpoint) -> None:
+        """Take over the outage or warm-up of this endpoint from before its kind of route changed."""
+        self.is_marked_down = former.is_down
+        self.own_warm_up_began_at = former.warm_up_began_at
+        self.consecutive_failures = former.consecutive_failures
+        self.failed_at = former.failed_at
 
     def __post_init__(self, node_position: int) -> None:
         # Each node has its own order: with a common one, many nodes with little traffic would all choose the
--- a/swiftthread/routing/endpoint_list.py
+++ b/swiftthread/routing/endpoint_list.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 
 from swiftthread.routing.endpoint import Endpoint
@@ -72,21 +71,20 @@
         for destination in extended_destinations:
             destination.endpoints.sort(key=lambda endpoint: (endpoint.carriage_cost, endpoint.rank))
         self._drain_unlisted(listed_ids, is_complete, now, forgotten)
-        self._forget_unlisted_destinations()
+        self._forget_unlisted_destinations(now)
         return forgotten
 
     def _apply_entry(self, entry: EndpointEntry, forgotten: list[Endpoint]) -> Endpoint | None:
         # Add or update the endpoint of an entry; return None for one that is unknown and not ready.
         destination = self.get_or_add_destination(entry.destination_number)
         has_separate_route = self._has_separate_route(entry.kind)
-        retry_after_until = -math.inf
+        former: Endpoint | None = None  # the same endpoint with another kind of route
         known = self.endpoints.get(entry.endpoint_id)
         if known and (known.destination is not destination or known.has_separate_route != has_separate_route):
             # The id now belongs to an endpoint of another destination, or with another kind of route.
             self._drain(self.endpoints.pop(entry.endpoint_id))
             forgotten.append(known)
-            if known.destination is destination:
-                retry_after_until = known.rate_limiter.retry_after_until
+            former = known if known.destination is destination else None
             known = None
         if known is None and not entry.is_ready:
             return None
@@ -96,7 +94,9 @@
             endpoint.rate_limiter.update_from_list(listed_rate)
         else:
             endpoint = self._add(entry, destination, has_separate_route, listed_rate)
-        endpoint.rate_limiter.extend_retry_after(retry_after_until)  # it stays valid when the route changes
+        if former is not None:
+            endpoint.rate_limiter.extend_retry_after(former.rate_limiter.retry_after_until)
+            endpoint.continue_outage_of(former)
         self._update_from_entry(endpoint, entry, has_separate_route)
         return endpoint
 
@@ -158,8 +158,9 @@
             not endpoint.calls_in_flight and not endpoint.has_health_check_in_flight and now > retained_until
         )
 
-    def _forget_unlisted_destinations(self) -> None:
-        # Forget the destinations that were named first, if too many have neither endpoints nor events.
+    def _forget_unlisted_destinations(self, now: float) -> None:
+        # Forget the destinations that were named first, if too many have neither endpoints nor events; those
+        # that are down or warming up come last.
         excess = len(self.destinations) - len(self.endpoints) - MAX_UNLISTED_DESTINATIONS
         if excess <= 0:
             return
@@ -169,9 +170,14 @@
             for number, destination in self.destinations.items()
             if destination not in in_use and not destination.pending_count
         ]
+        unlisted.sort(key=lambda number: self._is_recovering(self.destinations[number], now))
         for number in unlisted[: max(0, len(unlisted) - MAX_UNLISTED_DESTINATIONS)]:
             del self.destinations[number]
 
+    def _is_recovering(self, destination: Destination, now: float) -> bool:
+        limiter = destination.rate_limiter
+        return limiter is not None and self.recovery.is_down_or_warming_up(limiter.recovery, now)
+
     @staticmethod
     def _drain(endpoint: Endpoint) -> None:
         # Stop choosing an endpoint for attempts: mark it not ready and remove it from its destination.
--- a/swiftthread/routing/health.py
+++ b/swiftthread/routing/health.py
@@ -3,6 +3,8 @@
 
 from __future__ import annotations
 
+import math
+
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.endpoint_list import EndpointList
 from swiftthread.routing.jitter import Jitter
@@ -159,39 +161,47 @@
         )
 
     def _record_ack(self, endpoint: Endpoint, now: float, latency_ms: float) -> None:
+        recovery = endpoint.rate_limiter.recovery
+        is_destination_unacked = self._destination_lacks_recent_ack(endpoint, now)
         may_be_recovering = endpoint.is_down or (
             endpoint.consecutive_failures >= OUTAGE_UNACKED_FAILURES
-            and self._destination_lacks_recent_ack(endpoint, now)
+            and is_destination_unacked
             and not self._is_usual_connection_limit(endpoint)
         )
         if not may_be_recovering:
             self._learn_rejected_connection_share(endpoint)
+        ends_common_outage = may_be_recovering and (recovery.is_down or is_destination_unacked)
+        recovery.is_down = False
         endpoint.acked_at = now
         endpoint.consecutive_failures = 0
         endpoint.consecutive_rejected_connections = 0
         endpoint.failure_ratio = endpoint.failure_ratio * (1 - FAILURE_SMOOTHING)
         if may_be_recovering:
-            self._begin_warm_up(endpoint, now)
+            self._begin_warm_up(endpoint, now, ends_common_outage)
         endpoint.unacked_outcomes = ()
         endpoint.rate_limiter.record_ack(now, latency_ms, self._is_latency_rise_widespread)
 
-    def _begin_warm_up(self, endpoint: Endpoint, now: float) -> None:
+    def _begin_warm_up(self, endpoint: Endpoint, now: float, ends_common_outage: bool) -> None:
+        # Begin the warm-up of an endpoint that acked a call, and that of its whole destination or route if no
+        # other endpoint acked one in the outage.
         limiter = endpoint.rate_limiter
+        recovery = limiter.recovery
         trial_pause_ms = self.recovery.mean_trial_pause_ms(endpoint, now)
-        reserved_calls = max(0.0, limiter.next_recovery_slot_at - now) / trial_pause_ms
+        reserved_calls = max(0.0, recovery.next_slot_at - now) / trial_pause_ms
         # The endpoint recovered at an unknown time since the last failure; the mean over all nodes is half
         # way. Nodes that had no event to try it with would all assume a time long before the recovery, so the
         # interval starts at most one mean trial pause ago.
-        down_until = max(
-            endpoint.failed_at, limiter.outage_began_at, limiter.retry_after_until, now - trial_pause_ms
-        )
-        endpoint.is_down = False
+        failed_at = endpoint.failed_at if endpoint.failed_at > -math.inf else recovery.failed_at
+        down_until = max(failed_at, recovery.outage_began_at, limiter.retry_after_until, now - trial_pause_ms)
+        endpoint.is_marked_down = False
         endpoint.is_unresponsive = False
-        endpoint.warm_up_began_at = (down_until + now) / 2
+        endpoint.own_warm_up_began_at = (down_until + now) / 2
+        if ends_common_outage:
+            recovery.warm_up_began_at = endpoint.own_warm_up_began_at
         self.down_endpoints.pop(endpoint, None)
         endpoint.failure_ratio = min(endpoint.failure_ratio, MAX_FAILURE_RATIO / 2)
         # Slots that trials and health checks have reserved stay reserved, at the pace of the warm-up.
-        limiter.set_next_recovery_slot(now + self.recovery.pause_ms(endpoint, now, reserved_calls))
+        recovery.next_slot_at = now + self.recovery.pause_ms(endpoint, now, reserved_calls)
         self.observer.endpoint_recovering(
             EndpointRecovering(
                 endpoint.endpoint_id,
@@ -199,7 +209,7 @@
                 endpoint.unacked_outcomes,
                 time_since_failure_ms=now - endpoint.failed_at,
                 warm_up_elapsed_ms=now - endpoint.warm_up_began_at,
-                time_to_next_call_ms=limiter.next_recovery_slot_at - now,
+                time_to_next_call_ms=recovery.next_slot_at - now,
             )
         )
 
@@ -221,9 +231,11 @@
             endpoint.failing_since = now
         endpoint.consecutive_failures += 1
         endpoint.failed_at = now
+        endpoint.rate_limiter.recovery.failed_at = now
         endpoint.is_unresponsive = outcome == SendOutcome.TIMED_OUT
         endpoint.has_passed_health_check = False
         if endpoint.is_down:
+            self._set_marked_down(endpoint)
             return
         if (
             endpoint.failure_ratio > MAX_FAILURE_RATIO
@@ -311,15 +323,19 @@
             if rejects_all_calls or other.acked_at < now - self.recovery.warm_up_ms / 2:
                 if not other.is_down:
                     newly_down.append(other)
-                other.is_down = True
-                self.down_endpoints[other] = True
+                self._set_marked_down(other)
                 other.consecutive_failures = max(other.consecutive_failures, int(rejects_all_calls))
-        endpoint.is_down = True
-        self.down_endpoints[endpoint] = True
+        self._set_marked_down(endpoint)
+        endpoint.rate_limiter.recovery.is_down = True
         self._schedule_first_trial(endpoint, now)
         for down_endpoint in newly_down:
             self._report_down(down_endpoint, now)
 
+    def _set_marked_down(self, endpoint: Endpoint) -> None:
+        if self.endpoint_list.is_current(endpoint):
+            endpoint.is_marked_down = True
+            self.down_endpoints[endpoint] = True
+
     def _report_down(self, endpoint: Endpoint, now: float) -> None:
         self.observer.endpoint_down(
             EndpointDown(
@@ -328,7 +344,7 @@
                 endpoint.unacked_outcomes,
                 consecutive_failures=endpoint.consecutive_failures,
                 time_since_ack_ms=now - endpoint.acked_at,
-                time_to_next_trial_ms=endpoint.rate_limiter.next_recovery_slot_at - now,
+                time_to_next_trial_ms=endpoint.rate_limiter.recovery.next_slot_at - now,
             )
         )
 
@@ -346,9 +362,8 @@
     def _schedule_first_trial(self, endpoint: Endpoint, now: float) -> None:
         limiter = endpoint.rate_limiter
         pause_ms = self.recovery.pause_ms(endpoint, now) * self.jitter.uniform(0.0, 1.0)
-        limiter.set_next_recovery_slot(
-            max(now, limiter.retry_after_until) + max(MIN_TRIAL_PAUSE_MS, pause_ms)
-        )
+        trial_at = max(now, limiter.retry_after_until) + max(MIN_TRIAL_PAUSE_MS, pause_ms)
+        limiter.recovery.next_slot_at = trial_at
 
     def _is_latency_rise_widespread(self) -> bool:
         # Return whether latency has risen at more than half of the limiters with a known latency.
--- a/swiftthread/routing/health_checks.py
+++ b/swiftthread/routing/health_checks.py
@@ -29,7 +29,7 @@
         due = [endpoint for endpoint in self._endpoints_to_check() if self._due_at(endpoint, now) <= now]
         for endpoint in due:
             endpoint.has_health_check_in_flight = True
-            endpoint.rate_limiter.set_next_recovery_slot(now + self.recovery.pause_ms(endpoint, now))
+            endpoint.rate_limiter.recovery.next_slot_at = now + self.recovery.pause_ms(endpoint, now)
         return due
 
     def record_outcome(self, endpoint: Endpoint, outcome: SendOutcome) -> None:
--- a/swiftthread/routing/rate_limiter.py
+++ b/swiftthread/routing/rate_limiter.py
@@ -10,6 +10,7 @@
 
 from swiftthread.routing.events import Call
 from swiftthread.routing.messages import LoadReport
+from swiftthread.routing.recovery_state import RecoveryState
 from swiftthread.routing.settings import ListedRates, Settings
 from swiftthread.routing.statistics import RecentCount, SlidingMedian, SmoothedRate
 
@@ -138,16 +139,14 @@
         "listed_rate",
         "listed_rate_confidence",
         "lowest_latency_ms",
-        "next_recovery_slot_at",
         "next_slot_at",
-        "outage_began_at",
         "rate",
         "rate_as_listed",
-        "rate_before_outage",
         "rate_changed_at",
         "rate_reduced_at",
         "recent_acks",
         "recent_latency_ms",
+        "recovery",
         "retry_after_until",
         "shared_call",
         "sharing",
@@ -195,11 +194,8 @@
         self.consecutive_failures = 0
         self.has_acked_since_reduction = True
 
-        self.rate_before_outage = 0.0
-        """Average rate of acked calls when the last outage began."""
-        self.outage_began_at = -math.inf
-        self.next_recovery_slot_at = -math.inf
-        """When the next trial, health check or call may be sent to an endpoint that is down or warming up."""
+        self.recovery = RecoveryState()
+        """The outage and the warm-up of the destination or route."""
 
     def set_listed_rate(self, listed_rate: float, confidence: float) -> None:
         """Use this limit, and divide it among the nodes."""
@@ -398,10 +394,5 @@
         )
 
     def begin_outage(self, began_at: float, served_until: float) -> None:
-        """Record when an outage began, and the average ack rate at the end of normal service."""
-        self.outage_began_at = began_at
-        self.rate_before_outage = self.average_ack_rate.at(served_until)
-
-    def set_next_recovery_slot(self, at: float) -> None:
-        """Set `next_recovery_slot_at`, the time of the next trial, health check or call during recovery."""
-        self.next_recovery_slot_at = at
+        """Record when an outage began, and when normal service ended."""
+        self.recovery.begin_outage(began_at, self.average_ack_rate.at(served_until))
--- a/swiftthread/routing/recovery.py
+++ b/swiftthread/routing/recovery.py
@@ -7,6 +7,7 @@
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.jitter import Jitter
 from swiftthread.routing.rate_limiter import MIN_RATE_PER_MS
+from swiftthread.routing.recovery_state import RecoveryState
 from swiftthread.routing.settings import Settings
 
 # Largest distance from 1 of the random factor of each pause, so that nodes do not stay synchronised.
@@ -34,6 +35,10 @@
         """Return whether the endpoint recovered less than the duration of a warm-up ago."""
         return now - endpoint.warm_up_began_at < self.warm_up_ms
 
+    def is_down_or_warming_up(self, state: RecoveryState, now: float) -> bool:
+        """Return whether a destination or route is down, or recovered less than a warm-up ago."""
+        return state.is_down or now - state.warm_up_began_at < self.warm_up_ms
+
     def warm_up_ends_at(self, endpoint: Endpoint) -> float:
         """Return when the endpoint has its full capacity again."""
         return endpoint.warm_up_began_at + self.warm_up_ms
@@ -49,24 +54,24 @@
         """
         # A slot that no event used does not stay available: many nodes without events would all have one, and
         # a number of events that arrive at the same time would all be sent at once.
-        limiter = endpoint.rate_limiter
-        if now - max(limiter.next_recovery_slot_at, ready_at) > SLOT_VALIDITY_MS:
+        recovery = endpoint.rate_limiter.recovery
+        if now - max(recovery.next_slot_at, ready_at) > SLOT_VALIDITY_MS:
             pause_ms = self.pause_ms(endpoint, now) * self.jitter.uniform(0.0, 1.0)
-            limiter.set_next_recovery_slot(now + pause_ms)
-        return limiter.next_recovery_slot_at
+            recovery.next_slot_at = now + pause_ms
+        return recovery.next_slot_at
 
     def reserve(self, endpoint: Endpoint, cost: float, now: float) -> None:
         """Move the next recovery slot later for a call, if the endpoint is down or warming up."""
         if not endpoint.is_down and not self.is_warming_up(endpoint, now):
             return
-        limiter = endpoint.rate_limiter
+        recovery = endpoint.rate_limiter.recovery
         pause_ms = self.pause_ms(endpoint, now, cost)
         if endpoint.is_down_without_own_failure:
             # The call waited for no recovery slot, so it uses none; the next call comes a pause later all the
             # same.
-            limiter.set_next_recovery_slot(max(limiter.next_recovery_slot_at, now + pause_ms))
+            recovery.next_slot_at = max(recovery.next_slot_at, now + pause_ms)
         else:
-            limiter.set_next_recovery_slot(max(now, limiter.next_recovery_slot_at) + pause_ms)
+            recovery.next_slot_at = max(now, recovery.next_slot_at) + pause_ms
 
     def pause_ms(self, endpoint: Endpoint, now: float, calls: float = 1.0) -> float:
         """Return how long calls occupy the schedule of an endpoint that is down or warming up."""
@@ -109,10 +114,11 @@
     def _full_capacity_pause_ms(self, endpoint: Endpoint, now: float) -> float:
         # Return the time between two calls of this node if the endpoint had its full capacity.
         limiter = endpoint.rate_limiter
+        recovery = limiter.recovery
         if limiter.listed_rate:
-            window_ms = max(limiter.sharing.activity_window_ms, now - limiter.outage_began_at)
+            window_ms = max(limiter.sharing.activity_window_ms, now - recovery.outage_began_at)
             affected_nodes_share = limiter.share_among_nodes(window_ms, self._demand_rate(endpoint))
         else:
-            affected_nodes_share = limiter.rate_before_outage or MIN_RATE_PER_MS
-        rate = limiter.rate_before_outage + limiter.listed_rate_confidence * affected_nodes_share
+            affected_nodes_share = recovery.rate_before_outage or MIN_RATE_PER_MS
+        rate = recovery.rate_before_outage + limiter.listed_rate_confidence * affected_nodes_share
         return 2.0 / (BUDGET_SHARE * self.overload_multiple * rate)
--- a/tests/routing/test_outages.py
+++ b/tests/routing/test_outages.py
@@ -186,7 +186,7 @@
     """Failures in a warm-up did not count: a node that took a limit for an outage missed the next outage."""
     router = SimulatedNode(ONE_ENDPOINT).run_until(0.0).session.router
     (endpoint,) = router.endpoints.values()
-    endpoint.acked_at = endpoint.warm_up_began_at = 0.0
+    endpoint.acked_at = endpoint.own_warm_up_began_at = 0.0
     event = router.add_event(0.0, 0, 0, 30000.0)
     states = []
     now = 1000.0
