A send is recorded once its connection is up, not when it is decided

Cause: the record of a send was appended at the decision. Between it and the first byte lie the connect (up to 1.5 s), the wait for list changes and the check of deadlines, and a restart takes every record without a result for a send that may have run.

Change: EndpointCall records each send of its batch when the connection is up, then checks list changes and deadlines, then writes. A send that can't be recorded is not made. After a failed write the log is tried before a connection is opened.

Tests changed: five tests waited for the record of a second attempt to know that it was connecting; there is none then any more. They wait for the connection itself, in the kernel's table, and keep all their assertions.

--- a/swiftthread/client/endpoint_call.py
+++ b/swiftthread/client/endpoint_call.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from swiftthread.routing.endpoint import Endpoint
     from swiftthread.routing.events import Event
+    from swiftthread.storage.pending_event import PendingEvent
 
 Clock = Callable[[], float]
 """Returns a time in ms."""
@@ -32,6 +33,9 @@
 Returns -inf when the event may not be sent to this endpoint any more.
 """
 
+RecordSend = Callable[["PendingEvent"], bool]
+"""Records in the write-ahead log that an event is about to be sent; False if that failed."""
+
 # If connecting took longer, the process may have stood still, and a Retry-After that arrived meanwhile may
 # not be recorded yet. Calls within 100 ms of a Retry-After are tolerated.
 MAX_UNRECORDED_MS = 50.0
@@ -53,6 +57,7 @@
         "send_deadline",
         "update_endpoint_list",
         "wait_until_recorded",
+        "record_send",
         "started_at",
         "initial_deadlines",
         "target",
@@ -70,6 +75,7 @@
         send_deadline: SendDeadline,
         update_endpoint_list: Callable[[], None],
         wait_until_recorded: Callable[[], Awaitable[None]],
+        record_send: RecordSend,
     ) -> None:
         self.batch = batch
         self.connections = connections
@@ -78,6 +84,7 @@
         self.send_deadline = send_deadline
         self.update_endpoint_list = update_endpoint_list
         self.wait_until_recorded = wait_until_recorded
+        self.record_send = record_send
         self.started_at = clock()
         self.initial_deadlines = [
             send_deadline(send.pending.router_event, batch.endpoint, self.started_at) for send in batch.sends
@@ -132,6 +139,7 @@
             return SendOutcome.NOT_SENT if last_send_deadline < connect_by else SendOutcome.UNREACHABLE
         if self.clock() - self.started_at > MAX_UNRECORDED_MS:
             await self.wait_until_recorded()
+        self._record_sends()
         write_by = self._check_send_deadlines()
         if not self.batch.in_call:
             return SendOutcome.NOT_SENT
@@ -143,10 +151,17 @@
         self.connection.received_at = None
         return await self._exchange(self.connection, parts, write_by, respond_by)
 
+    def _record_sends(self) -> None:
+        # Record the sends in the log. It is done once the connection is up, because after a kill a recorded
+        # send counts as one that may have run. Those that cannot be recorded finish as not sent.
+        for send in self.batch.unfinished():
+            if not self.record_send(send.pending):
+                self._finish_unsent(send, self.clock())
+
     def _check_send_deadlines(self) -> float:
         # Right before the first byte is sent, set `batch.in_call` to the sends that may still be made. The
-        # other sends finish as not sent: connecting may have taken too long, or this process may have been
-        # suspended.
+        # other sends finish as not sent: connecting or recording may have taken too long, or this process
+        # may have been suspended.
         # Returns the time by which the last byte of the request must have been sent.
         self.update_endpoint_list()
         now = self.clock()
--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from swiftthread.client.batch import Batch
-from swiftthread.client.endpoint_call import Clock, EndpointCall, SendDeadline
+from swiftthread.client.endpoint_call import Clock, EndpointCall, RecordSend, SendDeadline
 from swiftthread.client.endpoint_connections import EndpointAddress, EndpointConnections
 from swiftthread.client.endpoint_request import HOST_HEADER
 from swiftthread.client.endpoint_response import parse_load_report, read_results
@@ -56,6 +56,7 @@
         send_deadline: SendDeadline,
         update_endpoint_list: Callable[[], None],
         wait_until_recorded: Callable[[], Awaitable[None]],
+        record_send: RecordSend,
         observer: ConnectionObserver,
         memory: MemoryAccount,
         hold_ups: HoldUps,
@@ -81,6 +82,8 @@
         """Applies the list changes that have arrived; called right before the first byte of a call."""
         self.wait_until_recorded = wait_until_recorded
         """Waits until the outcomes that have arrived are recorded."""
+        self.record_send = record_send
+        """Records a send in the write-ahead log; called right before the first byte of a call."""
         self.batches: dict[Call, Batch] = {}  # emptied by `start_batches`
 
     async def send(self, pending: PendingEvent, send: Send) -> SendResult:
@@ -123,6 +126,7 @@
             self.send_deadline,
             self.update_endpoint_list,
             self.wait_until_recorded,
+            self.record_send,
         )
         if len(batch.sends) > 1:
             self.tasks.start_soon(call.finish_expired_sends)
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -39,6 +39,8 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from swiftthread.storage.pending_event import PendingEvent
+
 # A list document of this size is read whatever the memory: 1,024 endpoints, indented.
 MIN_DOCUMENT_BYTES = 512 * 1024
 
@@ -137,11 +139,15 @@
             send_deadline=self._router.send_deadline,
             update_endpoint_list=discovery.apply_available_updates,
             wait_until_recorded=self._scheduler.wait_until_recorded,
+            record_send=self._record_send,
             observer=self._activity,
             memory=self._memory,
             hold_ups=self._hold_ups,
         )
 
+    def _record_send(self, pending: PendingEvent) -> bool:
+        return self._log.append_sent(pending, pending.router_event.sent_group)
+
     def _build_notifier(self) -> ResultNotifier:
         return ResultNotifier(
             address=self._config.discovery,
--- a/swiftthread/service/delivery.py
+++ b/swiftthread/service/delivery.py
@@ -169,8 +169,8 @@
         # Make one attempt; returns the router's next decision, or None once the event is finished.
         if not self._router.is_list_confirmed:
             self._report_unconfirmed_list(pending, send)
-        is_logged = self._log.append_sent(pending, event.sent_group)
-        if is_logged:
+        recorded_attempts = pending.attempts
+        if self._log.may_append(pending):
             result = await self._endpoint_client.send(pending, send)
         else:
             result = await self._skip_unlogged_send()
@@ -186,9 +186,9 @@
             result.load_report,
         )
         self._scheduler.wake(event.destination)
-        # After an attempt that is not logged, this record would apply to an earlier attempt that the log has
-        # as in flight and that may have run.
-        if is_logged and result.outcome in NEVER_RAN:
+        # After an attempt that is not in the log, this record would apply to an earlier attempt that the log
+        # has as in flight and that may have run.
+        if pending.attempts > recorded_attempts and result.outcome in NEVER_RAN:
             self._log.append_never_ran(pending)
         return None if result.is_event_finished else decision
 
@@ -203,8 +203,8 @@
 
     @staticmethod
     async def _skip_unlogged_send() -> SendResult:
-        # Returns the result of a send that could not be logged and so was not made. It does so after a pause,
-        # because otherwise writes to a full disk would be retried continuously.
+        # Returns the result of a send that was not made, because the log cannot be written. It does so after
+        # a pause, because otherwise writes to a full disk would be retried continuously.
         await anyio.sleep(LOG_RETRY_PAUSE_MS / 1000.0)
         return SendResult(SendOutcome.NOT_SENT, 0.0)
 
--- a/swiftthread/storage/write_ahead_log.py
+++ b/swiftthread/storage/write_ahead_log.py
@@ -20,6 +20,7 @@
     ended_record_with_fingerprint,
     never_ran_record,
     sent_record,
+    state_record,
 )
 from swiftthread.storage.log_file import LogFile, LogFileError
 from swiftthread.storage.pending_event import PendingEvent, PossibleExecution
@@ -48,6 +49,7 @@
         """The pending events by id; an event is removed when it ends."""
         self.recently_ended = RecentlyEndedEvents(log_clock)
         """The events that ended recently."""
+        self._last_append_failed = False
         self._file = LogFile(folder, int(MAX_FILE_DISK_SHARE * disk_bytes))
         try:
             replay = self._replay()
@@ -126,8 +128,15 @@
         self._table.add(pending, len(data))
         return True
 
+    def may_append(self, pending: PendingEvent) -> bool:
+        """Return whether the log can be written, as far as is known; after a failed write this tries one."""
+        # The record that it tries repeats what the log has of the event.
+        return not self._last_append_failed or self._try_append(
+            pending, state_record(pending.event_id, pending.attempts, pending.possible_execution)
+        )
+
     def append_sent(self, pending: PendingEvent, group: int | str | None) -> bool:
-        """Record a send before its first byte; False if the log cannot be written and nothing may be sent."""
+        """Record a send right before its first byte; False if that failed and nothing may be sent."""
         send = PossibleExecution(self._log_clock(), group)
         if not self._try_append(pending, sent_record(pending.event_id, send)):
             return False
@@ -199,10 +208,13 @@
 
     def _append(self, data: bytes) -> int:
         # Append records, and compact the file first if it would exceed its limit; return their offset.
+        self._last_append_failed = True
         self._file.remove_partial_write()
         if not self._file.has_capacity_for(len(data)):
             self.compact()
-        return self._file.append(data)
+        offset = self._file.append(data)
+        self._last_append_failed = False
+        return offset
 
     def _try_append(self, pending: PendingEvent, data: bytes) -> bool:
         # Append a record of an event; if that fails, log an error and return False.
--- a/tests/client/test_call_deadlines.py
+++ b/tests/client/test_call_deadlines.py
@@ -42,7 +42,7 @@
     streams = [deduplicated_stream(group, 2.2)]
     with NodeProcess(tmp_path, endpoint, Profiles=streams, Permissions={"ConnectTimeout": 4.0}) as node:
         assert node.submit("posting", left="8000m", **POSTING) == 202
-        wait_until(lambda: node.log_path().read_bytes().count(b'O["evt-1"') == 2)
+        wait_until(lambda: endpoint.calls and endpoint.connecting_count())
         endpoint.resume_accepting()
         wait_until(lambda: b'E["evt-1"]' in node.log_path().read_bytes())
         assert node.final_outcomes() == {"evt-1": "given_up" if group == "zone" else "handed_back"}
@@ -97,7 +97,7 @@
     streams = [deduplicated_stream("zone", 2.2)]
     with NodeProcess(tmp_path, endpoint, Profiles=streams, Permissions={"ConnectTimeout": 6.0}) as node:
         assert node.submit("posting", left="8000m", **POSTING) == 202
-        wait_until(lambda: node.log_path().read_bytes().count(b'O["evt-1"') == 2)
+        wait_until(lambda: endpoint.calls and endpoint.connecting_count())
         node.process.send_signal(signal.SIGSTOP)
         endpoint.resume_accepting()
         wait_until(lambda: time.monotonic() - endpoint.calls[0][0] > 2.3)
--- a/tests/client/test_endpoint_call.py
+++ b/tests/client/test_endpoint_call.py
@@ -1,10 +1,10 @@
-"""The last check before the first byte of a call uses the list changes that have arrived by then."""
+"""The steps between a connection that has come up and the first byte of a call."""
 
 import math
-from types import SimpleNamespace
 
 import anyio
 from support.fake_servers import FakeEndpoint
+from support.node_process import wait_until
 
 from swiftthread.client.batch import Batch
 from swiftthread.client.endpoint_call import EndpointCall
@@ -15,31 +15,79 @@
 from swiftthread.memory_account import MemoryAccount
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.routing.endpoint import Endpoint
-from swiftthread.routing.events import Destination
+from swiftthread.routing.events import Destination, Event
 from swiftthread.routing.messages import SendOutcome
 from swiftthread.service.activity import Activity
+from swiftthread.storage.pending_event import PendingEvent
 
 
-def test_nothing_is_sent_to_an_address_that_an_unread_change_gives_to_another_endpoint():
-    server = FakeEndpoint()
-    host, port = server.address.split(":")
-    addresses = {"a": (host, int(port))}
+class CallOfOneSend:
+    """A call with one send to an endpoint that answers every call."""
+
+    def __init__(self, **steps):
+        self.server = FakeEndpoint()
+        host, port = self.server.address.split(":")
+        self.addresses = {"a": (host, int(port))}
+        self.steps = {
+            "clock": monotonic_ms,
+            "log_clock": monotonic_ms,
+            "send_deadline": lambda *_: monotonic_ms() + 5000.0,
+            "update_endpoint_list": lambda: None,
+            "wait_until_recorded": anyio.lowlevel.checkpoint,
+            "record_send": lambda _pending: True,
+        } | steps
 
-    async def call():
+    async def _run(self):
         batch = Batch(Endpoint("a", 0, Destination(0), 0))
-        send = batch.add(SimpleNamespace(router_event=None), monotonic_ms() + 5000.0, False)
-        connections = EndpointConnections(
-            BufferPool(), addresses, 1500.0, Activity(), ResponseResources(MemoryAccount(64e6, 0), HoldUps())
-        )
-        await EndpointCall(
-            batch,
-            connections,
-            monotonic_ms,
-            monotonic_ms,
-            lambda *_: math.inf,
-            addresses.clear,
-            anyio.lowlevel.checkpoint,
-        ).run()
-        return send.result.outcome
-
-    assert anyio.run(call) == SendOutcome.NOT_SENT and server.calls == []
+        pending = PendingEvent("evt-1", "", "notice", 1, math.inf, None, 0, b"body")
+        pending.router_event = Event(None, batch.endpoint.destination, 0, 1.0, math.inf, math.inf, 0.0)
+        send = batch.add(pending, monotonic_ms() + 5000.0, False)
+        resources = ResponseResources(MemoryAccount(64e6, 0), HoldUps())
+        connections = EndpointConnections(BufferPool(), self.addresses, 1500.0, Activity(), resources)
+        await EndpointCall(batch, connections, **self.steps).run()
+        return send.result.outcome if send.finished.is_set() else None
+
+    def run(self):
+        """Make the call; return the outcome of the send if it was not made, else None."""
+        return anyio.run(self._run)
+
+
+def test_nothing_is_sent_to_an_address_that_an_unread_change_gives_to_another_endpoint():
+    call = CallOfOneSend()
+    call.steps["update_endpoint_list"] = call.addresses.clear
+    assert call.run() == SendOutcome.NOT_SENT and call.server.calls == []
+
+
+def test_a_send_is_recorded_once_its_connection_is_up():
+    """It was recorded before, and counted as one that may have run if the process died meanwhile."""
+    accepted_at_record = []
+    call = CallOfOneSend()
+
+    def record_send(_pending):
+        wait_until(lambda: call.server.accepted)
+        accepted_at_record.append(call.server.accepted)
+        assert not call.server.calls
+        return True
+
+    call.steps["record_send"] = record_send
+    assert call.run() is None
+    assert accepted_at_record == [1] and call.server.event_ids() == ["evt-1"]
+
+
+def test_a_send_that_cannot_be_recorded_is_not_made():
+    call = CallOfOneSend(record_send=lambda _pending: False)
+    assert call.run() == SendOutcome.NOT_SENT
+    wait_until(lambda: call.server.accepted)
+    assert call.server.calls == []
+
+
+def test_the_send_deadline_is_checked_after_the_send_is_recorded():
+    """Recording can take long on a slow disk."""
+    now = [0.0]
+
+    def record_send(_pending):
+        now[0] = 101.0
+        return True
+
+    call = CallOfOneSend(clock=lambda: now[0], send_deadline=lambda *_: 100.0, record_send=record_send)
+    assert call.run() == SendOutcome.NOT_SENT and call.server.calls == []
--- a/tests/client/test_health_check.py
+++ b/tests/client/test_health_check.py
@@ -36,6 +36,7 @@
             send_deadline=None,
             update_endpoint_list=lambda: None,
             wait_until_recorded=anyio.lowlevel.checkpoint,
+            record_send=lambda _pending: True,
             observer=Activity(),
             memory=MemoryAccount(64e6, 0),
             hold_ups=HoldUps(),
--- a/tests/node/test_node_retry_after.py
+++ b/tests/node/test_node_retry_after.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from support.fake_servers import FakeEndpoint
+from support.fake_servers import FakeEndpoint, connecting_count
 from support.node_process import NodeProcess, wait_until
 
 from swiftthread.routing.endpoint import Endpoint
@@ -58,11 +58,7 @@
         filler.connect_ex(slow.listener.getsockname())
     with NodeProcess(tmp_path, rejecting, slow, Permissions={"ConnectTimeout": 4.0, "Probes": False}) as node:
         assert [node.submit(left="5000m"), node.submit(left="5000m")] == [202, 202]
-        wait_until(
-            lambda: (
-                b'O["evt-1"' in node.log_path().read_bytes() and b'O["evt-2"' in node.log_path().read_bytes()
-            )
-        )
+        wait_until(lambda: rejecting.calls and connecting_count(slow.listener, fillers))
         rejected_at = time.monotonic()
         may_respond.set()
         may_accept.set()
--- a/tests/node/test_unread_list_changes.py
+++ b/tests/node/test_unread_list_changes.py
@@ -48,7 +48,7 @@
         wait_until(lambda: node.discovery.watches)
         old.stop_accepting_at_once()
         assert node.submit() == 202
-        wait_until(lambda: b'O["evt-1"' in node.log_path().read_bytes())
+        wait_until(old.connecting_count)
 
         def change():
             replace_endpoint(node.discovery, old, new)
--- a/tests/node/test_unread_responses.py
+++ b/tests/node/test_unread_responses.py
@@ -52,7 +52,7 @@
     with NodeProcess(tmp_path, endpoint, connecting, Permissions={"ConnectTimeout": 4.0}) as node:
         connecting.stop_accepting_at_once()
         assert [node.submit() for _ in range(2)] == [202] * 2
-        wait_until(lambda: endpoint.calls and b'O["evt-2"' in node.log_path().read_bytes())
+        wait_until(lambda: endpoint.calls and connecting.connecting_count())
         connecting.resume_accepting()
         # The kernel repeats the connection request, which the full queue dropped, after a second.
         rejected_at = endpoint.reject_while_stopped(node)
--- a/tests/storage/test_full_disk.py
+++ b/tests/storage/test_full_disk.py
@@ -98,6 +98,22 @@
         assert not log.unreadable_ranges
 
 
+def test_after_a_failed_write_the_log_is_tried_before_a_call_and_keeps_what_it_has(tmp_path, monkeypatch):
+    """Without the trial each attempt would open a connection for a send that cannot be recorded."""
+    log = open_log(tmp_path)
+    event = pending_event()
+    assert log.append_accepted(event) and log.append_sent(event, 1) and log.may_append(event)
+    with monkeypatch.context() as patch:
+        patch.setattr(log_file.os, "write", fail_to_write)
+        assert not log.append_sent(event, 2)
+        assert not log.may_append(event)
+    assert log.may_append(event)
+    log.close()
+    with open_log(tmp_path) as log:
+        (event,) = log.pending.values()
+        assert event.possible_execution == (NOW, 1) and event.attempts == 1
+
+
 def test_a_failed_append_or_replacement_raises_with_the_path_and_leaves_the_file_unchanged(
     tmp_path, monkeypatch
 ):
--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -14,6 +14,7 @@
 from swiftthread.network.timestamps import ANCILLARY_BYTES, SO_TIMESTAMPNS, TIMESPEC
 
 PEER_CLOSED_STATES = (7, 8)  # CLOSE and CLOSE_WAIT in Linux's tcp_info
+SYN_SENT = "02"  # in /proc/net/tcp
 LAST_DATA_AGE_MS = struct.Struct("I")  # tcpi_last_data_recv in tcp_info
 LAST_DATA_AGE_OFFSET = 52
 LAST_DATA_AGE_END = LAST_DATA_AGE_OFFSET + LAST_DATA_AGE_MS.size
@@ -34,6 +35,20 @@
     return time.time() - age_ms / 1000.0
 
 
+def connecting_count(listener, excluded_sockets=()):
+    """Return how many connections to a listener on 127.0.0.1 are being established, but for these sockets."""
+    port = listener.getsockname()[1]
+    excluded_ports = {sock.getsockname()[1] for sock in excluded_sockets}
+    with open("/proc/net/tcp") as table:
+        rows = [line.split()[1:4] for line in table.readlines()[1:]]
+    return sum(
+        state == SYN_SENT
+        and remote == f"0100007F:{port:04X}"
+        and int(local.rpartition(":")[2], 16) not in excluded_ports
+        for local, remote, state in rows
+    )
+
+
 def send_if_open(conn, data):
     """Send bytes on a connection, unless it is closed."""
     with contextlib.suppress(OSError):
@@ -226,6 +241,10 @@
             time.sleep(0.001)
         self.stop_accepting()
 
+    def connecting_count(self):
+        """Return how many connections to the endpoint are being established."""
+        return connecting_count(self.listener, self.queue_fillers)
+
     def resume_accepting(self):
         """Empty the accept queue, and accept connections again."""
         while self.queue_fillers:
