An address that a list gives to two destinations is called for neither

Cause: AddressOwners took all endpoints that the latest document named at an address for its owners. A running node sees the order of additions; after a start one document names both.

Change: where one document names several, nothing is sent to the address until one is removed, unless they have the same destination, zone and kind. A start time that is later than that of the endpoint named last vetoes it; an endpoint that starts again at its address counts as named anew.

--- a/swiftthread/client/endpoint_list.py
+++ b/swiftthread/client/endpoint_list.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Set
 from typing import Any, NamedTuple, TypeVar
 
 from loguru import logger
@@ -132,20 +132,26 @@
         return EndpointListUpdate(list(entries.values()), is_complete)
 
     def _apply_ownership(self, addresses: set[Address], entries: dict[str | int, EndpointEntry]) -> None:
-        # Where several endpoints are listed at an address, those that were named there before the last one
-        # are not ready: their process has gone. They are again once that one is removed.
+        # Where several endpoints are listed at an address, only its owner is ready; the others may be again
+        # once that one is removed.
         for address in addresses:
-            for endpoint_id, is_owner in self._owners.sharing(address).items():
+            sharing = self._owners.sharing(address)
+            owners = self._owners_of(address)
+            if sharing != owners:
+                _report_shared_address(address, sharing, owners)
+            for endpoint_id in sharing:
                 entry = entries.get(endpoint_id, self._entries[endpoint_id])
-                if entry.is_ready and not is_owner:
-                    logger.info(
-                        "discovery: the address {}:{} of endpoint {} has passed to another endpoint; "
-                        "nothing more is sent for the first one",
-                        *address,
-                        endpoint_id,
-                    )
-                    entry = entry._replace(is_ready=False)
-                entries[endpoint_id] = entry
+                is_ready = entry.is_ready and endpoint_id in owners
+                entries[endpoint_id] = entry._replace(is_ready=is_ready)
+
+    def _owners_of(self, address: Address) -> Set[str | int]:
+        # Return the endpoints that may be called at a shared address: the one that was named there last. If
+        # that is true of several it does not matter which of them listens there as long as the events that
+        # may be sent to them are the same.
+        named_last = self._owners.named_last(address)
+        entries = [self._entries[endpoint_id] for endpoint_id in named_last]
+        roles = {(entry.destination_number, entry.zone, entry.kind) for entry in entries}
+        return named_last if len(roles) == 1 else frozenset()
 
     def _without_outdated_entries(self, raw_entries: list[Any], version: int) -> list[Any]:
         # Return the entries that no later document has changed.
@@ -193,7 +199,8 @@
             self.addresses.pop(endpoint_id, None)
             self._unconfigured_zones.pop(endpoint_id, None)
         else:
-            self._owners.set_address(endpoint_id, address, self._document_count)
+            started_ms = _parse_start_time(raw_entry.get("started_ms"))
+            self._owners.set_address(endpoint_id, address, started_ms, self._document_count)
             self._entries[endpoint_id] = entry
             self.addresses[endpoint_id] = address
         return entry
@@ -263,5 +270,29 @@
     return value
 
 
+def _parse_start_time(value: Any) -> int:
+    # Returns a Unix time in ms; 0, long ago, for a value that is none.
+    return value if isinstance(value, int) else 0
+
+
+def _report_shared_address(address: Address, sharing: Set[str | int], owners: Set[str | int]) -> None:
+    endpoint_ids = ", ".join(sorted(map(str, sharing)))
+    if not owners:
+        logger.warning(
+            "discovery: the address {}:{} is listed for the endpoints {}, and it is not known whose it is; "
+            "nothing is sent there until one of them is removed",
+            *address,
+            endpoint_ids,
+        )
+    else:
+        logger.info(
+            "discovery: the address {}:{} is listed for the endpoints {}; the last to be listed there is {}, "
+            "and nothing is sent there for others",
+            *address,
+            endpoint_ids,
+            ", ".join(sorted(map(str, owners))),
+        )
+
+
 def _parse_rate(value: Any) -> float:
     return float(value or 0.0)
