The test of endless answers counts the answers that were read to their bound

The count stood for 'the answers are read'. The new test asserts that: an endpoint sends without end, and a call that is closed sooner than the shortest time-out (200 ms for the rest of an answer) can only have ended by the bound of its bytes. Over 10 such calls are waited for, however long the trials take. The memory limit and the share of answered clients are as before, and the answer is endless where it ended after 128 KiB.

--- a/tests/node/test_crowd_and_signals.py
+++ b/tests/node/test_crowd_and_signals.py
@@ -8,12 +8,15 @@
 from support.fake_servers import FakeEndpoint
 from support.node_process import NodeProcess, wait_until
 
+from swiftthread.client.http_exchange import RESPONSE_COMPLETION_MS
+
 LIMIT_MB = 32
 LIMITS = {"memory_mb": LIMIT_MB, "sockets": 1024}
 MIN_ANSWERED_SHARE = 0.9
 CROWD_START_S = 0.8
 # SIGKILL comes no sooner than this after SIGTERM.
 SHUTDOWN_TIMEOUT_S = 3.7
+MANY_CALLS = {"Domain": {"CallsOut": 60, "KindBatch": [4]}, "Permissions": {"MaxOpen": 4000}}
 
 
 def test_reloads_beside_a_crowd_cost_no_client_its_answer(tmp_path):
@@ -66,13 +69,10 @@
         endpoint.script[:] = [200]
 
 
-@pytest.mark.parametrize("response_kind", ["long body", "endless", "incomplete head"])
+@pytest.mark.parametrize("response_kind", ["long body", "incomplete head"])
 def test_answers_of_many_endpoints_at_once_keep_to_the_memory_limit(tmp_path, response_kind):
     responses = {
         "long body": b"HTTP/1.1 500 Error\r\nContent-Length: 65536\r\n\r\n" + bytes(60_000),
-        "endless": b"HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n"
-        + b"4000\r\n"
-        + bytes(0x4000) * 8,
         "incomplete head": b"HTTP/1.1 500 Error\r\nX: " + b"x" * 31_000,
     }
 
@@ -81,8 +81,7 @@
         conn.recv(1)  # until the node closes the connection
 
     endpoints = [FakeEndpoint(lambda _body: hold, ident=f"s-{number}") for number in range(4)]
-    settings = {"Domain": {"CallsOut": 60, "KindBatch": [4]}, "Permissions": {"MaxOpen": 4000}}
-    with NodeProcess(tmp_path, *endpoints, limits=LIMITS, **settings) as node:
+    with NodeProcess(tmp_path, *endpoints, limits=LIMITS, **MANY_CALLS) as node:
         with OrdinaryClients(node, clients=8, pause_s=0.0) as ordinary:
             time.sleep(2.0)
         assert process_memory_mb(node.process, "VmHWM") < LIMIT_MB
@@ -90,6 +89,43 @@
     assert sum(len(endpoint.calls) for endpoint in endpoints) > 10
 
 
+class EndlessAnswers:
+    """Sends an answer that never ends on each connection, and measures after what time each is closed."""
+
+    def __init__(self):
+        self.durations_ms = []
+
+    def send(self, conn):
+        """Send on a connection until its peer closes it."""
+        began_at = time.monotonic()
+        try:
+            conn.sendall(b"HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n")
+            while True:
+                conn.sendall(b"4000\r\n" + bytes(0x4000) + b"\r\n")
+        finally:
+            self.durations_ms.append(1000.0 * (time.monotonic() - began_at))
+
+    def read_count(self):
+        """Return how many answers were read up to the bound of their bytes.
+
+        All other calls with an answer last until a time-out, and the shortest one is that for the rest of an
+        answer that has begun.
+        """
+        return sum(duration_ms < RESPONSE_COMPLETION_MS for duration_ms in self.durations_ms)
+
+
+def test_endless_answers_of_many_endpoints_are_read_to_their_bound_within_the_memory_limit(tmp_path):
+    """A node that did not read them would hold their calls and connections until the time-outs."""
+    answers = EndlessAnswers()
+    endpoints = [FakeEndpoint(lambda _body: answers.send, ident=f"s-{number}") for number in range(4)]
+    with NodeProcess(tmp_path, *endpoints, limits=LIMITS, **MANY_CALLS) as node:
+        with OrdinaryClients(node, clients=8, pause_s=0.0) as ordinary:
+            time.sleep(2.0)
+            wait_until(lambda: answers.read_count() > 10, timeout_s=20.0)
+        assert process_memory_mb(node.process, "VmHWM") < LIMIT_MB
+        assert ordinary.answered_share >= MIN_ANSWERED_SHARE
+
+
 def test_a_flood_of_each_kind_of_name_leaves_no_memory_behind(tmp_path):
     """Ids, ordering keys, tenants and destinations from outside are forgotten with their events."""
     endpoint = FakeEndpoint()
