A failed request for the list is repeated early enough for the age a list may have

A change counts as told 6 s after discovery had it and could be reached, so a node's longest pause is 4.5 s, which leaves 1.5 s for the response, and it is counted from the beginning of a request that brought no list.

The new tests fail before.

--- a/swiftthread/configuration/node_config.py
+++ b/swiftthread/configuration/node_config.py
@@ -3,7 +3,7 @@
 import contextlib
 import json
 from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from swiftthread.configuration.settings_reader import (
@@ -19,6 +19,10 @@
 
 # Keys that are read only at startup, because the pending events and the attempts in flight depend on them.
 START_ONLY_KEYS = ("listen", "state", "limits", "settings")
+# A node is expected to know a change this long after discovery had it and could be reached.
+MAX_LIST_AGE_MS = 6000.0
+# How long a request for the list may take until its response is applied.
+LIST_RESPONSE_MS = 1500.0
 
 
 class ConfigurationError(MalformedInput):
@@ -83,7 +87,7 @@
         seed = int(str(document["seed"]), 16)
     with _converted_errors(path, "settings"):
         settings_document = document["settings"]
-        settings = read_settings(settings_document)
+        settings = _limit_list_age(read_settings(settings_document))
         report_fields = read_report_fields(settings_document)
         settings_warnings = list(find_settings_warnings(settings_document))
         setting_numbers = read_setting_numbers(settings_document)
@@ -104,6 +108,13 @@
     )
 
 
+def _limit_list_age(settings: Settings) -> Settings:
+    # On sockets a change counts as told MAX_LIST_AGE_MS after discovery can be reached, whatever the settings
+    # say: a failed request for the list is repeated early enough for its response.
+    max_pause_ms = MAX_LIST_AGE_MS - LIST_RESPONSE_MS
+    return replace(settings, max_list_request_pause_ms=min(settings.max_list_request_pause_ms, max_pause_ms))
+
+
 def _read_document(path: str) -> dict[str, Any]:
     try:
         with open(path, encoding="utf-8") as source:
--- a/tests/configuration/test_node_config.py
+++ b/tests/configuration/test_node_config.py
@@ -27,6 +27,15 @@
 }
 
 
+@pytest.mark.parametrize("ask_within_s, max_pause_ms", [(10.0, 4500.0), (2.0, 2000.0), (None, 0.0)])
+def test_a_failed_request_for_the_list_is_repeated_within_the_age_that_a_list_may_have(
+    write_config, ask_within_s, max_pause_ms
+):
+    settings = DOCUMENT["settings"] | {"Discovery": "ask", "Obligations": {"AskWithin": ask_within_s}}
+    config = read_node_config(write_config(DOCUMENT | {"settings": settings}))
+    assert config.settings.max_list_request_pause_ms == max_pause_ms
+
+
 @pytest.fixture
 def write_config(tmp_path):
     """Returns a function that writes a document or text and returns the environment that names its file."""
--- a/tests/routing/test_list_polling.py
+++ b/tests/routing/test_list_polling.py
@@ -34,7 +34,7 @@
         return min(done_at + ROUND_TRIP_MS, now + TIMEOUT_MS), done_at + ROUND_TRIP_MS <= now + TIMEOUT_MS
 
 
-def list_received_times(seed):
+def list_received_times(seed, max_pause_ms):
     """Return when each node has the list if all request it at the same time; END_MS for those without it."""
     nodes = [
         Router(
@@ -42,7 +42,7 @@
                 stream_types=[IDEMPOTENT],
                 node_count=NODES,
                 polls_discovery=True,
-                max_list_request_pause_ms=10000.0,
+                max_list_request_pause_ms=max_pause_ms,
             ),
             seed + index,
         )
@@ -55,6 +55,7 @@
         if now >= END_MS:
             continue
         assert nodes[index].start_due_list_request(now) and not nodes[index].start_due_list_request(now)
+        nodes[index].record_list_request(now)
         responded_at, has_list = discovery.request_list(now)
         if has_list:
             nodes[index].apply_endpoint_list([], True, responded_at)
@@ -67,13 +68,14 @@
     return sorted(received_at)
 
 
+@pytest.mark.parametrize("max_pause_ms", [10000.0, 4500.0])
 @pytest.mark.parametrize("seed", range(1000, 6000, 1000))
-def test_nodes_that_lost_their_lists_together_do_not_keep_discovery_overloaded(seed):
+def test_nodes_that_lost_their_lists_together_do_not_keep_discovery_overloaded(seed, max_pause_ms):
     """Protects against requests that keep discovery near its timeout.
 
     When nodes repeated their requests within a second, 4 of 40 had a list after 20 s.
     """
-    received_at = list_received_times(seed)
+    received_at = list_received_times(seed, max_pause_ms)
     assert received_at[NODES // 2] < 10000.0
     assert received_at[-1] < 25000.0
 
@@ -87,6 +89,22 @@
     assert node.record_list_request_failure(0.0) <= 1500.0
 
 
+@pytest.mark.parametrize("request_ms", [1.0, 1500.0, 4200.0])
+@pytest.mark.parametrize("seed", range(5))
+def test_a_failed_request_is_repeated_within_the_longest_pause_of_its_beginning(seed, request_ms):
+    """Discovery may be reachable again from the moment after the request began.
+
+    Pauses grew to 10 s, and nodes sent to addresses that had passed on for more than 6 s.
+    """
+    node = Router(Settings(polls_discovery=True, max_list_request_pause_ms=4500.0), seed)
+    now = 0.0
+    for _ in range(20):
+        node.record_list_request(now)
+        repeated_at = node.record_list_request_failure(now + request_ms)
+        assert repeated_at <= now + max(4500.0, request_ms + 1500.0)
+        now = repeated_at
+
+
 def test_backoff_to_a_local_agent_that_pushes_the_list_does_not_grow_with_failures():
     node = Router(Settings(max_list_request_pause_ms=10000.0), 1)
     pauses = [node.record_list_request_failure(0.0) for _ in range(50)]
