The stand-in counts none of its own connections as one that is being established

Trace: stop_accepting registered a socket after it had begun to connect, so connecting_count took it for the node's; the test went on too early and called resume_accepting while stop_accepting still filled the queue, which then never became full, in an endless loop. Sockets are registered first, and the kernel's table is read before the list of them.

--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -38,9 +38,10 @@
 def connecting_count(listener, excluded_sockets=()):
     """Return how many connections to a listener on 127.0.0.1 are being established, but for these sockets."""
     port = listener.getsockname()[1]
-    excluded_ports = {sock.getsockname()[1] for sock in excluded_sockets}
     with open("/proc/net/tcp") as table:
         rows = [line.split()[1:4] for line in table.readlines()[1:]]
+    # Another thread may be connecting them: those that the table has are bound by now.
+    excluded_ports = {sock.getsockname()[1] for sock in excluded_sockets}
     return sum(
         state == SYN_SENT
         and remote == f"0100007F:{port:04X}"
@@ -229,8 +230,8 @@
         while True:
             sock = socket.socket()
             sock.setblocking(False)
-            sock.connect_ex(self.listener.getsockname())
             self.queue_fillers.append(sock)
+            sock.connect_ex(self.listener.getsockname())
             if not select.select([], [sock], [], 0.05)[1]:
                 return
 
