The steps before the first byte of a call are one object

EndpointCall and EndpointClient took four callbacks each and handed them on; they are one SendPreparation now. Whether the process may have stood still is decided by the scheduler alone (MAX_UNRECORDED_MS stood beside MAX_CYCLE_GAP_MS), and Clock is defined once. Tests of the client share tests/support/endpoint_clients.py.

--- a/swiftthread/client/endpoint_call.py
+++ b/swiftthread/client/endpoint_call.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 import anyio
 from loguru import logger
@@ -14,32 +12,13 @@
 from swiftthread.client.endpoint_request import build_send_request
 from swiftthread.client.endpoint_response import CompletedCall
 from swiftthread.client.http_exchange import HttpResponse, encode_request, receive
+from swiftthread.client.send_preparation import SendPreparation
 from swiftthread.client.send_result import SendResult
+from swiftthread.clocks import Clock
 from swiftthread.network.connection import Connection
 from swiftthread.network.tcp_connection import ConnectionClosed
 from swiftthread.routing.messages import SendOutcome
 
-if TYPE_CHECKING:
-    from swiftthread.routing.endpoint import Endpoint
-    from swiftthread.routing.events import Event
-    from swiftthread.storage.pending_event import PendingEvent
-
-Clock = Callable[[], float]
-"""Returns a time in ms."""
-
-SendDeadline = Callable[["Event", "Endpoint", float], float]
-"""Takes (event, endpoint, now) and returns when the last byte of the send must have been sent, in ms.
-
-Returns -inf when the event may not be sent to this endpoint any more.
-"""
-
-RecordSend = Callable[["PendingEvent"], bool]
-"""Records in the write-ahead log that an event is about to be sent; False if that failed."""
-
-# If connecting took longer, the process may have stood still, and a Retry-After that arrived meanwhile may
-# not be recorded yet. Calls within 100 ms of a Retry-After are tolerated.
-MAX_UNRECORDED_MS = 50.0
-
 # Turns of reading after a time-out; a complete response takes few.
 MAX_FINAL_TURNS = 16
 
@@ -54,10 +33,7 @@
         "connections",
         "clock",
         "log_clock",
-        "send_deadline",
-        "update_endpoint_list",
-        "wait_until_recorded",
-        "record_send",
+        "preparation",
         "started_at",
         "initial_deadlines",
         "target",
@@ -73,22 +49,17 @@
         connections: EndpointConnections,
         clock: Clock,
         log_clock: Clock,
-        send_deadline: SendDeadline,
-        update_endpoint_list: Callable[[], None],
-        wait_until_recorded: Callable[[], Awaitable[None]],
-        record_send: RecordSend,
+        preparation: SendPreparation,
     ) -> None:
         self.batch = batch
         self.connections = connections
         self.clock = clock
         self.log_clock = log_clock
-        self.send_deadline = send_deadline
-        self.update_endpoint_list = update_endpoint_list
-        self.wait_until_recorded = wait_until_recorded
-        self.record_send = record_send
+        self.preparation = preparation
         self.started_at = clock()
         self.initial_deadlines = [
-            send_deadline(send.pending.router_event, batch.endpoint, self.started_at) for send in batch.sends
+            preparation.send_deadline(send.pending.router_event, batch.endpoint, self.started_at)
+            for send in batch.sends
         ]
         """The send deadline of each send when the call started, in the order of the batch."""
         self.target = connections.address_of(batch.endpoint)
@@ -144,8 +115,7 @@
             self.connection = await self.connections.open(self.target)
         if self.connection is None:
             return SendOutcome.NOT_SENT if last_send_deadline < connect_by else SendOutcome.UNREACHABLE
-        if self.clock() - self.started_at > MAX_UNRECORDED_MS:
-            await self.wait_until_recorded()
+        await self.preparation.wait_until_recorded(self.started_at)
         self._record_sends()
         write_by = self._check_send_deadlines()
         if not self.batch.in_call:
@@ -162,7 +132,7 @@
         # Record the sends in the log. It is done once the connection is up, because after a kill a recorded
         # send counts as one that may have run. Those that cannot be recorded finish as not sent.
         for send in self.batch.unfinished():
-            if not self.record_send(send.pending):
+            if not self.preparation.record_send(send.pending):
                 self._finish_unsent(send, self.clock())
 
     def _check_send_deadlines(self) -> float:
@@ -170,7 +140,7 @@
         # other sends finish as not sent: connecting or recording may have taken too long, or this process
         # may have been suspended.
         # Returns the time by which the last byte of the request must have been sent.
-        self.update_endpoint_list()
+        self.preparation.update_endpoint_list()
         now = self.clock()
         endpoint = self.batch.endpoint
         write_by = math.inf
@@ -178,7 +148,7 @@
             deadline = -math.inf
             # If the endpoint's address has changed, the old one may now belong to another endpoint.
             if self.connections.address_of(endpoint) == self.target:
-                deadline = self.send_deadline(send.pending.router_event, endpoint, now)
+                deadline = self.preparation.send_deadline(send.pending.router_event, endpoint, now)
             if now < deadline and now < send.times_out_at:
                 write_by = min(write_by, deadline)
             else:
--- a/swiftthread/client/endpoint_client.py
+++ b/swiftthread/client/endpoint_client.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Collection, Mapping
+from collections.abc import Collection, Mapping
 from typing import TYPE_CHECKING
 
 import anyio
 from loguru import logger
 
 from swiftthread.client.batch import Batch
-from swiftthread.client.endpoint_call import Clock, EndpointCall, RecordSend, SendDeadline
+from swiftthread.client.endpoint_call import EndpointCall
 from swiftthread.client.endpoint_connections import EndpointAddress, EndpointConnections
 from swiftthread.client.endpoint_request import HOST_HEADER
 from swiftthread.client.endpoint_response import parse_load_report, read_results
 from swiftthread.client.http_exchange import HttpRequest, HttpResponse, ResponseResources, exchange
+from swiftthread.client.send_preparation import SendPreparation
 from swiftthread.client.send_result import SendResult
+from swiftthread.clocks import Clock
 from swiftthread.hold_ups import HoldUps
 from swiftthread.memory_account import MemoryAccount, MemoryUse
 from swiftthread.network.address import Address
@@ -53,10 +55,7 @@
         addresses: Mapping[str | int, Address],
         connect_timeout_ms: float,
         report_fields: Collection[str],
-        send_deadline: SendDeadline,
-        update_endpoint_list: Callable[[], None],
-        wait_until_recorded: Callable[[], Awaitable[None]],
-        record_send: RecordSend,
+        preparation: SendPreparation,
         observer: ConnectionObserver,
         memory: MemoryAccount,
         hold_ups: HoldUps,
@@ -76,14 +75,8 @@
         """How long connecting, or a whole health check, may take."""
         self.report_fields = report_fields
         """Names of the fields of a load report; empty if endpoints send no load reports."""
-        self.send_deadline = send_deadline
-        """Returns when the last byte of a send must have been sent."""
-        self.update_endpoint_list = update_endpoint_list
-        """Applies the list changes that have arrived; called right before the first byte of a call."""
-        self.wait_until_recorded = wait_until_recorded
-        """Waits until the outcomes that have arrived are recorded."""
-        self.record_send = record_send
-        """Records a send in the write-ahead log; called right before the first byte of a call."""
+        self.preparation = preparation
+        """The steps right before the first byte of a call."""
         self.batches: dict[Call, Batch] = {}  # emptied by `start_batches`
 
     async def send(self, pending: PendingEvent, send: Send) -> SendResult:
@@ -95,7 +88,7 @@
         if batch is None:
             batch = self.batches[call] = Batch(send.endpoint)
         times_out_at = now + send.timeout_ms
-        deadline = self.send_deadline(pending.router_event, send.endpoint, now)
+        deadline = self.preparation.send_deadline(pending.router_event, send.endpoint, now)
         is_last_attempt = times_out_at >= deadline - DEADLINE_TOLERANCE_MS
         batched_send = batch.add(pending, times_out_at, is_last_attempt)
         await batched_send.finished.wait()
@@ -123,10 +116,7 @@
             self.connections,
             self.clock,
             self.log_clock,
-            self.send_deadline,
-            self.update_endpoint_list,
-            self.wait_until_recorded,
-            self.record_send,
+            self.preparation,
         )
         if len(batch.sends) > 1:
             self.tasks.start_soon(call.finish_expired_sends)
@@ -138,7 +128,7 @@
 
     def _check_still_listed(self, endpoint: Endpoint, target: EndpointAddress) -> None:
         # Raises ConnectionClosed if the endpoint has left or moved while the connection was established.
-        self.update_endpoint_list()
+        self.preparation.update_endpoint_list()
         if not endpoint.is_ready or self.connections.address_of(endpoint) != target:
             raise ConnectionClosed(False)
 
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -9,6 +9,7 @@
 from swiftthread.client.endpoint_client import EndpointClient
 from swiftthread.client.json_stream import MAX_OBJECT_BYTES
 from swiftthread.client.result_notifier import ResultNotifier
+from swiftthread.client.send_preparation import SendPreparation
 from swiftthread.clocks import Clock, monotonic_ms
 from swiftthread.configuration.node_config import NodeConfig
 from swiftthread.hold_ups import HoldUps
@@ -136,10 +137,12 @@
             addresses=discovery.addresses,
             connect_timeout_ms=self._limits.connect_timeout_ms,
             report_fields=self._config.report_fields,
-            send_deadline=self._router.send_deadline,
-            update_endpoint_list=discovery.apply_available_updates,
-            wait_until_recorded=self._scheduler.wait_until_recorded,
-            record_send=self._record_send,
+            preparation=SendPreparation(
+                wait_until_recorded=self._scheduler.wait_until_recorded,
+                record_send=self._record_send,
+                update_endpoint_list=discovery.apply_available_updates,
+                send_deadline=self._router.send_deadline,
+            ),
             observer=self._activity,
             memory=self._memory,
             hold_ups=self._hold_ups,
--- a/swiftthread/service/scheduler.py
+++ b/swiftthread/service/scheduler.py
@@ -17,8 +17,9 @@
 from swiftthread.routing.router import Router
 from swiftthread.service.pending_queues import EventDecision, PendingQueues
 
-# After a longer interval between two cycles, responses that have arrived are recorded before anything is
-# decided: the process may have stood still. Calls within 100 ms of a Retry-After are tolerated.
+# After a longer interval between two cycles, or between the start of a call and its first byte, responses
+# that have arrived are recorded before anything is decided or sent: the process may have stood still, and
+# they may name a Retry-After. Calls within 100 ms of one are tolerated.
 MAX_CYCLE_GAP_MS = 50.0
 # Number of event loop iterations for that. A response passes through fewer tasks before it is recorded.
 READ_ITERATIONS = 8
@@ -91,8 +92,10 @@
         self._wakeup.set()
         return await waiter.wait()
 
-    async def wait_until_recorded(self) -> None:
-        """Wait until the router has been told of the outcomes that had arrived when this was called."""
+    async def wait_until_recorded(self, since: float) -> None:
+        """Wait until the router has been told of the outcomes that have arrived, if `since` is long ago."""
+        if self._clock() - since <= MAX_CYCLE_GAP_MS:
+            return
         await self.wait_for_cycle()
         await checkpoint()  # the other tasks that waited for the same cycle run, too
 
--- a/tests/client/test_endpoint_call.py
+++ b/tests/client/test_endpoint_call.py
@@ -1,8 +1,7 @@
 """The steps between a connection that has come up and the first byte of a call."""
 
-import math
-
 import anyio
+from support.endpoint_clients import send_preparation, sendable_event
 from support.fake_servers import FakeEndpoint
 from support.node_process import wait_until
 
@@ -15,36 +14,27 @@
 from swiftthread.memory_account import MemoryAccount
 from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.routing.endpoint import Endpoint
-from swiftthread.routing.events import Destination, Event
+from swiftthread.routing.events import Destination
 from swiftthread.routing.messages import SendOutcome
 from swiftthread.service.activity import Activity
-from swiftthread.storage.pending_event import PendingEvent
 
 
 class CallOfOneSend:
     """A call with one send to an endpoint that answers every call."""
 
-    def __init__(self, **steps):
+    def __init__(self, clock=monotonic_ms, **steps):
         self.server = FakeEndpoint()
         host, port = self.server.address.split(":")
         self.addresses = {"a": (host, int(port))}
-        self.steps = {
-            "clock": monotonic_ms,
-            "log_clock": monotonic_ms,
-            "send_deadline": lambda *_: monotonic_ms() + 5000.0,
-            "update_endpoint_list": lambda: None,
-            "wait_until_recorded": anyio.lowlevel.checkpoint,
-            "record_send": lambda _pending: True,
-        } | steps
+        self.clock = clock
+        self.steps = steps
 
     async def _run(self):
         batch = Batch(Endpoint("a", 0, Destination(0), 0))
-        pending = PendingEvent("evt-1", "", "notice", 1, math.inf, None, 0, b"body")
-        pending.router_event = Event(None, batch.endpoint.destination, 0, 1.0, math.inf, math.inf, 0.0)
-        send = batch.add(pending, monotonic_ms() + 5000.0, False)
+        send = batch.add(sendable_event(1, batch.endpoint.destination), monotonic_ms() + 5000.0, False)
         resources = ResponseResources(MemoryAccount(64e6, 0), HoldUps())
         connections = EndpointConnections(BufferPool(), self.addresses, 1500.0, Activity(), resources)
-        await EndpointCall(batch, connections, **self.steps).run()
+        await EndpointCall(batch, connections, self.clock, monotonic_ms, send_preparation(**self.steps)).run()
         return send.result.outcome if send.finished.is_set() else None
 
     def run(self):
--- a/tests/client/test_health_check.py
+++ b/tests/client/test_health_check.py
@@ -4,16 +4,12 @@
 
 import anyio
 import pytest
+from support.endpoint_clients import endpoint_client
 from support.fake_servers import FakeHttpServer, send_if_open
 
-from swiftthread.client.endpoint_client import EndpointClient
-from swiftthread.hold_ups import HoldUps
-from swiftthread.memory_account import MemoryAccount
-from swiftthread.network.buffer_pool import BufferPool
 from swiftthread.routing.endpoint import Endpoint
 from swiftthread.routing.events import Destination
 from swiftthread.routing.messages import SendOutcome
-from swiftthread.service.activity import Activity
 
 
 class ClientOfOneEndpoint:
@@ -25,22 +21,8 @@
         self.addresses = {"a": (host, int(port))}
         self.endpoint = Endpoint("a", 0, Destination(0), 0)
         self.endpoint.is_ready = True
-        self.client = EndpointClient(
-            tasks=None,
-            buffers=BufferPool(),
-            clock=lambda: 0.0,
-            log_clock=lambda: 0.0,
-            addresses=self.addresses,
-            connect_timeout_ms=1500.0,
-            report_fields=(),
-            send_deadline=None,
-            update_endpoint_list=lambda: None,
-            wait_until_recorded=anyio.lowlevel.checkpoint,
-            record_send=lambda _pending: True,
-            observer=Activity(),
-            memory=MemoryAccount(64e6, 0),
-            hold_ups=HoldUps(),
-        )
+        self.apply_change = lambda: None
+        self.client = endpoint_client(None, self.addresses, update_endpoint_list=lambda: self.apply_change())
 
     def check_health(self):
         """Returns the outcome of a health check."""
@@ -70,7 +52,7 @@
         else:
             client.endpoint.is_ready = False
 
-    client.client.update_endpoint_list = apply_change
+    client.apply_change = apply_change
     assert client.check_health() == "unreachable" and requests == []
 
 
