An indented list of the largest fleet is read, whatever the memory

Cause: a document was bounded by a tenth of the account of memory, at least 512 KiB, with its indentation. Change: the bound is that of 3,200 entries of 256 bytes, or more where there is memory, and lines are held without the white space at their ends.

Three of the four new cases fail before; the fourth has no indentation.

--- a/swiftthread/client/json_stream.py
+++ b/swiftthread/client/json_stream.py
@@ -63,7 +63,10 @@
 
 
 class JsonAssembler:
-    """Assembles JSON objects from lines: an object takes one line, or several if it is indented."""
+    """Assembles JSON objects from lines: an object takes one line, or several if it is indented.
+
+    The longest object is given without its indentation.
+    """
 
     def __init__(self, max_object_bytes: int = MAX_OBJECT_BYTES) -> None:
         self.text = bytearray()
@@ -87,10 +90,11 @@
             return None
         if not (self.text or line.lstrip().startswith(b"{")):
             raise MalformedJsonStream("a line outside a JSON object does not begin one")
-        self.text += line + b"\n"
+        # White space at the ends of a line is indentation, for a string contains no line end.
+        self.text += line.strip() + b"\n"
         if len(self.text) > self._max_object_bytes:
             raise MalformedJsonStream(f"a JSON object is longer than {self._max_object_bytes} bytes")
-        if not line.rstrip().endswith(b"}"):
+        if not self.text.endswith(b"}\n"):
             return None  # no object ends with this line
         try:
             decoded: dict[str, object] = json.loads(self.text)
--- a/swiftthread/service/composition.py
+++ b/swiftthread/service/composition.py
@@ -42,8 +42,11 @@
 
     from swiftthread.storage.pending_event import PendingEvent
 
-# A list document of this size is read whatever the memory: 1,024 endpoints, indented.
-MIN_DOCUMENT_BYTES = 512 * 1024
+# The list of the largest fleet is read whatever the memory.
+MAX_FLEET_ENDPOINTS = 3200
+# An entry of the list, without indentation.
+LIST_ENTRY_BYTES = 256
+MIN_DOCUMENT_BYTES = MAX_FLEET_ENDPOINTS * LIST_ENTRY_BYTES
 
 
 class NodeBuilder:
--- a/tests/client/test_json_stream.py
+++ b/tests/client/test_json_stream.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from swiftthread.client.json_stream import MAX_OBJECT_BYTES, JsonAssembler
+from swiftthread.client.json_stream import MAX_OBJECT_BYTES, JsonAssembler, MalformedJsonStream
 
 LIST_DOCUMENT = {
     "version": 3,
@@ -25,6 +25,17 @@
     assert assemble(f"\n{text}\n\n  {text}  \n") == [LIST_DOCUMENT, LIST_DOCUMENT]
 
 
+@pytest.mark.parametrize("indent", [None, 4, 40])
+def test_the_longest_object_is_measured_without_its_indentation(indent):
+    """An indented list was refused for its size as long as the node ran."""
+    lines = json.dumps(LIST_DOCUMENT, indent=indent).encode().split(b"\n")
+    length = sum(len(line.strip()) + 1 for line in lines)
+    assembler = JsonAssembler(length)
+    assert [assembler.add(line) for line in lines][-1] == LIST_DOCUMENT
+    with pytest.raises(MalformedJsonStream):
+        [JsonAssembler(length - 1).add(line) for line in [b"".join(lines) + b" 1" * length]]
+
+
 @pytest.mark.parametrize(
     "text",
     [
--- a/tests/service/test_fleet_size.py
+++ b/tests/service/test_fleet_size.py
@@ -17,6 +17,7 @@
 from swiftthread.service.limits import Limits
 
 FLEET_SIZE = 1024
+LARGEST_FLEET_SIZE = 3200
 
 
 def unused_address(number):
@@ -92,6 +93,23 @@
         assert ordinary.answered_share >= 0.9
 
 
+def test_the_list_of_the_largest_fleet_is_applied_if_it_is_indented(tmp_path):
+    """A node with little memory refused it as long as it ran, and went on by the list of its start."""
+    endpoint = FakeEndpoint(cell=LARGEST_FLEET_SIZE)
+    entries = [
+        endpoint.entry(weight=50.0)
+        | {"id": f"s-{number:08x}", "cell": 1 + number // 2, "addr": unused_address(number)}
+        for number in range(LARGEST_FLEET_SIZE - 1)
+    ]
+    with NodeProcess(tmp_path, known=False, limits={"memory_mb": 32}) as node:
+        node.stop()
+        node.discovery.indent = 4
+        node.discovery.list_document["servers"][:] = [*entries, endpoint.entry()]
+        node.start()
+        wait_until(lambda: node.submit(destination=LARGEST_FLEET_SIZE) == 202)
+        wait_until(lambda: endpoint.calls)
+
+
 def test_applying_a_list_of_1024_endpoints_takes_linear_time():
     """Protects against sorting all endpoints of a destination again for each endpoint that is added."""
     node = SimulatedNode([]).run_until(0.0)
--- a/tests/support/fake_servers.py
+++ b/tests/support/fake_servers.py
@@ -263,6 +263,7 @@
         self.notifications = []
         self.failing_notification_count = 0  # number of the next notification requests that get a 500
         self.targets = []
+        self.indent = None  # by how many spaces lists are indented; None: each takes one line
         self.omits_keep_alives = False  # whether the watches send no keep-alive lines
         self.answers_watches = threading.Event()  # while not set, a new watch waits for its response
         self.answers_watches.set()
@@ -281,7 +282,8 @@
         self.answers_watches.wait()
         conn.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         # Without a document nothing has changed since the requested version.
-        self.send_line(conn, json.dumps(self.list_document) if self.list_document else "")
+        text = json.dumps(self.list_document, indent=self.indent) if self.list_document else ""
+        self.send_line(conn, text)
         self.watches.append(conn)
         for _ in range(60):
             time.sleep(0.5)
