Events join a call as far as its body stays within 64 KiB

A clump of large events went out in calls of up to 256 KiB.

Change: an event knows how many bytes it takes in the body of a call of several events, and joins a call only if the rest of 64 KiB suffices. Smaller events behind it still may.

--- a/swiftthread/client/endpoint_request.py
+++ b/swiftthread/client/endpoint_request.py
@@ -13,6 +13,10 @@
     from swiftthread.storage.pending_event import PendingEvent
 
 HOST_HEADER = ("Host", "endpoint")
+# Base64 encodes groups of bytes.
+BASE64_GROUP_BYTES = 3
+BASE64_GROUP_LENGTH = 4
+ENTRY_SEPARATOR = ", "
 
 
 def build_send_request(events: Sequence[PendingEvent], remaining_ms: float) -> HttpRequest:
@@ -30,6 +34,13 @@
     return HttpRequest("POST", "/receive-many", headers, json.dumps(entries).encode())
 
 
+def batch_entry_bytes(pending: PendingEvent) -> int:
+    """Return the length of an event's entry in the body of a request for several events."""
+    names = {"id": pending.event_id, "body": "", "key": pending.idempotency_key}
+    body_bytes = -(-len(pending.body) // BASE64_GROUP_BYTES) * BASE64_GROUP_LENGTH
+    return len(json.dumps(names)) + body_bytes + len(ENTRY_SEPARATOR)
+
+
 def _batch_entry(pending: PendingEvent) -> dict[str, str]:
     entry = {"id": pending.event_id, "body": base64.b64encode(pending.body).decode()}
     if pending.idempotency_key:
--- a/swiftthread/routing/events.py
+++ b/swiftthread/routing/events.py
@@ -53,6 +53,8 @@
     expires_at: float
     next_check_at: float
     """When to decide again."""
+    size_bytes: int = 0
+    """Bytes that it takes in the body of a call of several events."""
     waits_for_outcome: bool = False
     """Whether to decide again also when any attempt of this node has its outcome."""
     attempts: int = 0
--- a/swiftthread/routing/rate_limiter.py
+++ b/swiftthread/routing/rate_limiter.py
@@ -117,6 +117,12 @@
     return max([stream_type.max_age_ms for stream_type in settings.stream_types] or [DEFAULT_LONGEST_WAIT_MS])
 
 
+# Largest body of a call of several events that endpoints accept.
+MAX_CALL_BODY_BYTES = 64 * 1024
+# What such a body has besides its events.
+CALL_BODY_FRAME_BYTES = 2
+
+
 @dataclass(slots=True)
 class SharedCall:
     """A call that further events may join in the scheduling cycle in which it was made."""
@@ -125,6 +131,8 @@
     made_at: float
     remaining_capacity: int
     """How many further events may join."""
+    remaining_bytes: int
+    """How many bytes they may have together."""
 
 
 class RateLimiter:
@@ -250,29 +258,32 @@
         """Record that an event waits for a slot; without such demand the rate does not grow."""
         self.demand_at = now
 
-    def offer_shared_call(self, call: Call, now: float, capacity: int) -> None:
-        """Let up to `capacity` further events join this call in this scheduling cycle."""
-        self.shared_call = SharedCall(call, now, capacity)
+    def offer_shared_call(self, call: Call, now: float, capacity: int, size_bytes: int) -> None:
+        """Let up to `capacity` further events join this call, whose event has this size, in this cycle."""
+        remaining_bytes = MAX_CALL_BODY_BYTES - CALL_BODY_FRAME_BYTES - size_bytes
+        self.shared_call = SharedCall(call, now, capacity, remaining_bytes)
 
     def has_joinable_call(self, now: float) -> bool:
         """Return whether further events may join a call of this scheduling cycle."""
         shared = self.shared_call
         return shared is not None and shared.made_at == now and shared.remaining_capacity > 0
 
-    def has_joinable_call_to(self, endpoint: Endpoint, now: float) -> bool:
-        """Return whether further events may join a call of this scheduling cycle to this endpoint."""
+    def has_joinable_call_to(self, endpoint: Endpoint, now: float, size_bytes: int) -> bool:
+        """Return whether an event of this size may join a call of this scheduling cycle to this endpoint."""
         shared = self.shared_call
         return (
             shared is not None
             and shared.made_at == now
             and shared.remaining_capacity > 0
+            and shared.remaining_bytes >= size_bytes
             and shared.call.endpoint is endpoint
         )
 
-    def join_shared_call(self) -> Call:
-        """Return the call of this scheduling cycle, which one event fewer may join from now on."""
+    def join_shared_call(self, size_bytes: int) -> Call:
+        """Let an event of this size join the call of this scheduling cycle, and return the call."""
         assert self.shared_call is not None
         self.shared_call.remaining_capacity -= 1
+        self.shared_call.remaining_bytes -= size_bytes
         return self.shared_call.call
 
     def apply_retry_after(self, until: float, random_uniform: Callable[[float, float], float]) -> None:
--- a/swiftthread/routing/router.py
+++ b/swiftthread/routing/router.py
@@ -176,12 +176,14 @@
         time_left_ms: float,
         tenant: int | None = None,
         ordering_key: Hashable = 0,
+        size_bytes: int = 0,
     ) -> Event:
         """Add a pending event."""
         # The event is returned, and the caller passes it to the other methods. `stream_type_number` is the
         # index of the event's stream type in the settings, and `destination_number` is the number of its
         # destination in the endpoint list. `time_left_ms` is the time until the event reaches its max age.
         # `tenant` is the index of its tenant in the quotas of the settings; None stands for no known tenant.
+        # `size_bytes` is what it takes in the body of a call of several events.
         # `ordering_key` is used only if the stream type of the event is ordered; 0 or "" stands for none.
         stream_type = self.stream_types[stream_type_number]
         destination = self.endpoint_list.get_or_add_destination(destination_number)
@@ -194,6 +196,7 @@
             latency_objective_at=expires_at - stream_type.max_age_ms + stream_type.latency_objective_ms,
             expires_at=expires_at,
             next_check_at=now,
+            size_bytes=size_bytes,
         )
         self.pending.add(destination)
         if event.ordering_key:
@@ -418,7 +421,7 @@
     def _send(self, event: Event, endpoint: Endpoint, joins_call: bool, now: float) -> Send:
         limiter = endpoint.rate_limiter
         if joins_call:
-            call, cost = limiter.join_shared_call(), SHARED_EVENT_COST
+            call, cost = limiter.join_shared_call(event.size_bytes), SHARED_EVENT_COST
         else:
             call, cost = self._start_call(event, endpoint, now), CALL_COST
         limiter.reserve(now, cost)
@@ -436,7 +439,7 @@
         call = Call(endpoint)
         is_exclusive = endpoint.is_down or not self.timeouts.may_share_call(event, endpoint, now)
         positions_left = 0 if is_exclusive else endpoint.batch_size - 1
-        endpoint.rate_limiter.offer_shared_call(call, now, positions_left)
+        endpoint.rate_limiter.offer_shared_call(call, now, positions_left, event.size_bytes)
         self.slots.acquire(endpoint, now)
         return call
 
--- a/swiftthread/routing/selection.py
+++ b/swiftthread/routing/selection.py
@@ -72,9 +72,9 @@
         for endpoint in event.destination.endpoints:
             if is_bound and not may_be_sent_to(event, endpoint):
                 continue
-            if endpoint.rate_limiter.has_joinable_call_to(endpoint, now) and self.timeouts.may_share_call(
-                event, endpoint, now
-            ):
+            limiter = endpoint.rate_limiter
+            is_joinable = limiter.has_joinable_call_to(endpoint, now, event.size_bytes)
+            if is_joinable and self.timeouts.may_share_call(event, endpoint, now):
                 return Selected(endpoint, joins_call=True)
             candidates.append(Candidate(endpoint, self._available_at(endpoint, now)))
         if not event.destination.endpoints:
--- a/swiftthread/service/delivery.py
+++ b/swiftthread/service/delivery.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from swiftthread.client.endpoint_client import EndpointClient
+from swiftthread.client.endpoint_request import batch_entry_bytes
 from swiftthread.client.result_notifier import ResultNotifier
 from swiftthread.client.send_result import SendResult
 from swiftthread.clocks import Clock
@@ -92,6 +93,7 @@
             min(pending.expires_at - log_now, max_age_ms),
             self._tenant_numbers.get(pending.tenant),
             pending.ordering_key,
+            batch_entry_bytes(pending),
         )
         pending.router_event = event
         event.attempts = pending.attempts
