--- a/tests/node/test_kill_while_connecting.py
+++ b/tests/node/test_kill_while_connecting.py
@@ -29,6 +29,7 @@
             assert not endpoint.calls
             if not kills_left:
                 endpoint.resume_accepting()
+                endpoint.listener.listen(EVENT_COUNT)  # no connection comes up late any more
             node.start()
         wait_until(lambda: not node.pending_event_ids())
         assert node.final_outcomes() == {}
